Keep h2o state reachable until exit

Under the leak checker, server contexts and socket pools that outlive their owner were reported as lost. They are now handed to one registry; a listener that cannot be bound throws before any h2o state exists.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <unordered_map>
 
+#include "retained.h"
+
 namespace persimmongrade {
 
 namespace {
@@ -91,7 +93,12 @@
     ::signal(SIGPIPE, SIG_IGN);
 }
 
-event_loop::~event_loop() = default;  // h2o 2.2.5 cannot destroy a loop that still has sockets; the process owns it
+event_loop::~event_loop() {
+    this->state->timers.clear();
+    this->state->due_times.clear();
+    this->state->signal_callbacks.clear();
+    retain_until_exit(std::move(this->state));
+}
 
 void event_loop::run() {
     this->state->stopped = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <unordered_map>
 
+#include "retained.h"
+
 namespace persimmongrade {
 
 namespace {
@@ -175,7 +177,7 @@
         this->cancel(this->state->calls.begin()->first);
     }
     // Idle pooled sockets and the getaddr receiver stay registered with the loop until the process ends.
-    this->state.release();  // NOLINT(bugprone-unused-return-value)
+    retain_until_exit(std::move(this->state));
 }
 
 call_id http_client::send(http_call call, std::function<void(http_call_result)> callback) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -8,6 +8,7 @@
 
 #include "listener.h"
 #include "persimmongrade/error.h"
+#include "retained.h"
 
 namespace persimmongrade {
 
@@ -190,6 +191,7 @@
                          http_handler handler)
     : state(std::make_unique<impl>()) {
     impl& server = *this->state;
+    server.listener = open_listener(loop, address);  // first, since it may throw
     server.handler = std::move(handler);
     h2o_config_init(&server.config);
     server.config.max_request_entity_size = options.max_body_bytes;
@@ -204,7 +206,6 @@
     h2o_context_init(&server.context, loop.native(), &server.config);
     server.accept_context.ctx = &server.context;
     server.accept_context.hosts = server.config.hosts;
-    server.listener = open_listener(loop, address);
     server.listener->data = &server;
     h2o_socket_read_start(server.listener, impl::on_accept);
     server.loop = &loop;
@@ -216,7 +217,7 @@
     this->state->loop->cancel(this->state->close_check_timer);
     // Open connections still point at the context, and h2o 2.2.5 offers no way to close them all, so the state of a
     // server that ends before its process is kept.
-    this->state.release();  // NOLINT(bugprone-unused-return-value)
+    retain_until_exit(std::move(this->state));
 }
 
 void http_server::close_listener() {
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -13,6 +13,7 @@
 
 #include "listener.h"
 #include "persimmongrade/log.h"
+#include "retained.h"
 
 namespace persimmongrade {
 
@@ -357,7 +358,7 @@
     this->state->accepted.clear();
     this->state->accepted_by_id.clear();
     this->state->handler = [](const wire::envelope_t&) {};
-    this->state.release();  // NOLINT(bugprone-unused-return-value)
+    retain_until_exit(std::move(this->state));
 }
 
 void peer_transport::add_peer(const std::string& id, const ip_address& address, duration send_delay) {
