--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -45,6 +45,12 @@
         }
     }
 
+    void optional_address(const std::string& key, std::string& value) {
+        if (this->find(key)) {
+            this->require_address(key, value);
+        }
+    }
+
     void optional(const std::string& key, std::uint32_t& value, std::uint32_t least, std::uint32_t most) {
         YAML::Node child = this->find(key);
         if (!child) {
@@ -156,6 +162,7 @@
         item.require_address("address", peer->address);
         item.require("region", peer->region);
         item.require("zone", peer->zone);
+        item.optional_address("http_address", peer->http_address);
         peers.push_back(std::move(peer));
     });
     for (const auto& peer : peers) {
