Add the control daemon with a single-voter stand-in for the log

Edges see only published revisions, at most one per 300 ms: a lease needs the newest published revision, and without the interval a fast series of changes would let every configuration lease expire.

Run by hand on 127.0.3.1: submit of both example schemas, resend, unsupported schema version, drain, status, watch, SIGTERM with exit code 0.

--- /dev/null
+++ b/include/persimmongrade/control_server.h
@@ -0,0 +1,38 @@
+// The control daemon: binds consensus, record store, distribution and the operators' HTTP interface to one event loop.
+//
+//     control_server server(loop, load_control_settings("control-1.yaml"), {});
+//     loop.on_signal(SIGTERM, [&] { server.stop(); });   // transfers leadership, answers what is pending, stops the
+//     loop loop.run();
+//
+// HTTP interface: section 7 of docs/design.md. Changes and reads are answered by the leader only; another process
+// answers 421 with the leader's address in the header Persimmon-Leader and in the body.
+
+#pragma once
+
+#include <memory>
+
+#include "persimmongrade/event_loop.h"
+#include "settings_generated.h"
+
+namespace persimmongrade {
+
+struct control_options {
+    bool bootstrap = false;  // first start of a new cluster: an empty data directory may vote at once
+};
+
+class control_server {
+public:
+    // Throws socket_error when an address cannot be bound, and storage_error types when the data cannot be used.
+    control_server(event_loop& loop, wire::control_settings_t settings, control_options options);
+    ~control_server();
+    control_server(const control_server&) = delete;
+    control_server& operator=(const control_server&) = delete;
+
+    void stop();  // planned stop, within stop_timeout_ms; ends the loop
+
+private:
+    struct impl;
+    std::unique_ptr<impl> state;
+};
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/include/persimmongrade/distribution.h
@@ -0,0 +1,126 @@
+// Distribution of the configuration from the leader to the edges: pushes, configuration leases, the table of live
+// edges, and the progress of revisions and drains. Pure: time is an argument, messages are returned.
+//
+//     distribution distributor(options, edge_ids, store);
+//     send(distributor.set_authority(now, unix_now_ms, {.serving = true, .term = 7}));   // at each change and tick
+//     send(distributor.on_ping(now, ping, granter.answer(ping, now)));
+//     send(distributor.on_ack(now, ack));
+//     send(distributor.tick(now));                       // every 50 ms, and after committed commands were applied
+//     if (distributor.published_revision() != before) { granter.apply(store.configuration(), now); }
+//
+// Publication. Edges see only published revisions. A change is published at once when the last publication is at
+// least `publish_interval` ago, otherwise when that time has passed. A lease needs the published revision; without
+// this interval, a fast series of changes would keep every edge one revision behind at each ping, and all
+// configuration leases would expire.
+//
+// In force. A revision is in force when each edge has applied it or the edge's configuration lease has expired. A new
+// leader assumes that every edge got a lease from its predecessor just before the change.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "messages_generated.h"
+#include "persimmongrade/clock.h"
+#include "persimmongrade/record_store.h"
+
+namespace persimmongrade {
+
+struct distribution_options {
+    duration configuration_lease = ms(2000);  // counted by the edge from when its ping was sent
+    duration alive_timeout = ms(1000);        // without a ping for this long, lookups exclude the edge
+    duration publish_interval = ms(300);      // not a divisor of the ping period (250 ms), so that pings change phase
+    duration resend_after = ms(500);          // an unacknowledged push is sent again
+
+    auto operator<=>(const distribution_options&) const = default;
+};
+
+// What the process may say now. `serving`: it is the leader, its leader lease is valid, and an entry of its term has
+// been committed and applied, so that its store holds every accepted command.
+struct leader_authority {
+    bool serving = false;
+    std::string leader;  // id of the leader; empty when unknown
+    std::uint64_t term = 0;
+
+    auto operator<=>(const leader_authority&) const = default;
+};
+
+// A message to send.
+struct peer_message {
+    std::string to;
+    wire::messageUnion body;
+};
+
+// Progress of one drain.
+struct drain_status {
+    std::string target;
+    std::uint64_t revision = 0;
+    std::int64_t announced_at_ms = 0;      // Unix time
+    std::optional<duration> drain_time;    // from the announcement until no edge has work on the target; unset: running
+    std::uint32_t outstanding = 0;         // requests, as last reported
+    std::vector<std::string> waiting_for;  // edges with outstanding requests, or behind the drain's revision
+
+    auto operator<=>(const drain_status&) const = default;
+};
+
+class distribution {
+public:
+    // `edges`: the ids of all entry hosts. The store must outlive this object.
+    distribution(distribution_options options, const std::vector<std::string>& edges, const record_store& store);
+
+    // Events
+    void set_authority(time_point now, std::int64_t unix_now_ms, const leader_authority& authority);
+    std::vector<peer_message> tick(time_point now);
+    // `pong` carries the lease grants. The edge is answered with not_leader when this process is not serving.
+    // Pings of unknown edges and of older incarnations are not answered.
+    std::vector<peer_message> on_ping(time_point now, const wire::edge_ping_t& ping, wire::edge_pong_t pong);
+    std::vector<peer_message> on_ack(time_point now, const wire::config_ack_t& ack);
+
+    // State; meaningful only while serving
+    bool serving() const noexcept { return this->authority.serving; }
+    std::uint64_t published_revision() const noexcept { return this->published; }
+    std::vector<std::string> not_in_force(time_point now, std::uint64_t revision) const;  // edges; empty: in force
+    std::vector<wire::edge_info_t> edges(time_point now) const;
+    std::vector<drain_status> drains(time_point now) const;
+
+private:
+    struct edge_entry {
+        wire::edge_info_t info;                            // as of the last ping
+        bool heard = false;                                // in this term
+        time_point last_ping{};                            // valid when heard
+        std::uint64_t applied = 0;                         // highest revision acknowledged by this incarnation
+        std::uint64_t reported = 0;                        // applied revision as of the last ping
+        time_point lease_until{};                          // the edge may act on its revision until then
+        std::uint64_t sent = 0;                            // revision of the push in flight; 0: none
+        time_point sent_at{};                              // of that push
+        bool needs_full = false;                           // the edge asked for a full copy
+        std::map<std::string, std::uint32_t> outstanding;  // requests by target, as of the last ping
+    };
+
+    void take_over(time_point now, std::int64_t unix_now_ms);
+    void update_entry(time_point now, edge_entry& entry, const wire::edge_ping_t& ping);
+    bool publish_due(time_point now) const;
+    void publish(time_point now);
+    void push_if_behind(time_point now, edge_entry& entry, std::vector<peer_message>& messages);
+    void update_drains(time_point now);
+    bool may_act(time_point now, const edge_entry& entry, std::uint64_t revision) const;
+    bool has_work(time_point now, const edge_entry& entry, const std::string& target, std::uint64_t revision) const;
+    bool edge_table_known(time_point now) const;
+
+    distribution_options options;
+    const record_store& store;
+    leader_authority authority;
+    std::map<std::string, edge_entry> entries;
+    time_point serving_since{};
+    std::int64_t unix_offset_ms = 0;  // Unix time minus local time, as of taking over
+    std::uint64_t published = 0;
+    std::optional<time_point> published_at;
+    std::map<std::string, drain_status> progress;  // by target
+};
+
+}  // namespace persimmongrade
--- a/include/persimmongrade/record_store.h
+++ b/include/persimmongrade/record_store.h
@@ -60,6 +60,7 @@
     const wire::steering_record_t* find_record(const std::string& name) const;  // live; null when there is none
     std::uint64_t record_revision(const std::string& name) const;               // of its acceptance; 0 when unknown
     std::uint64_t drain_revision(const std::string& target) const;              // 0: the target is not draining
+    std::vector<wire::target_drain_t> drain_list() const;
     wire::configuration_t configuration() const;
     // The changes after `base`; full when `base` is too old, unknown or 0.
     wire::configuration_delta_t changes_since(std::uint64_t base) const;
--- /dev/null
+++ b/src/control/control_server.cpp
@@ -0,0 +1,536 @@
+#include "persimmongrade/control_server.h"
+
+#include <deque>
+#include <map>
+#include <utility>
+
+#include "operator_api.h"
+#include "persimmongrade/distribution.h"
+#include "persimmongrade/http_server.h"
+#include "persimmongrade/log.h"
+#include "persimmongrade/metrics.h"
+#include "persimmongrade/peer_transport.h"
+#include "persimmongrade/record_parser.h"
+#include "persimmongrade/record_store.h"
+#include "single_voter.h"
+
+// Index
+//   Submissions   - from an HTTP request through the log to its answer
+//   Log events    - committed entries, installed snapshots, changes of leadership
+//   Edges         - pings, acknowledgements, pushes
+//   HTTP          - routes, reads, watches
+//   Stop
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr duration consensus_tick = ms(10);
+constexpr duration distribution_tick = ms(20);     // bounds the delay of a publication
+constexpr duration submission_timeout = ms(5000);  // then the answer is outcome_unknown
+constexpr duration watch_timeout = ms(25000);      // a watch without changes is answered after this
+constexpr std::size_t max_pending_submissions = 10000;
+constexpr std::size_t max_watches = 1000;
+
+using exchange_pointer = std::shared_ptr<http_exchange>;
+
+struct submission {
+    std::vector<std::uint8_t> payload;
+    exchange_pointer exchange;  // null for the leader's own commands
+    time_point received_at{};
+};
+
+struct pending_entry {
+    std::uint64_t term = 0;
+    submission request;
+};
+
+struct watch {
+    std::uint64_t after = 0;
+    exchange_pointer exchange;
+    time_point expires_at{};
+};
+
+std::vector<std::string> edge_ids(const wire::control_settings_t& settings) {
+    std::vector<std::string> ids;
+    for (const auto& edge : settings.edges) {
+        ids.push_back(edge->id);
+    }
+    return ids;
+}
+
+std::optional<std::uint64_t> parse_count(const std::optional<std::string>& text) {
+    if (!text || text->empty() || text->size() > 18 || text->find_first_not_of("0123456789") != std::string::npos) {
+        return std::nullopt;
+    }
+    return std::stoull(*text);
+}
+
+bool starts_with(const std::string& text, const std::string& prefix, std::string& rest) {
+    if (text.compare(0, prefix.size(), prefix) != 0) {
+        return false;
+    }
+    rest = text.substr(prefix.size());
+    return true;
+}
+
+}  // namespace
+
+struct control_server::impl {
+    event_loop& loop;
+    wire::control_settings_t settings;
+    metric_registry metrics;
+    record_store store;
+    distribution distributor;
+    single_voter<impl> log;
+    peer_transport peers;
+    http_server http;
+    std::deque<submission> queue;                     // accepted from HTTP, not yet proposed
+    std::map<std::uint64_t, pending_entry> proposed;  // by log index
+    std::vector<watch> watches;
+    bool flush_scheduled = false;
+    bool is_stopping = false;
+    prometheus::Counter& submissions;
+    prometheus::Counter& refusals;
+    prometheus::Gauge& revision_gauge;
+    prometheus::Gauge& leader_gauge;
+    prometheus::Gauge& term_gauge;
+
+    impl(event_loop& loop, wire::control_settings_t given)
+        : loop(loop), settings(std::move(given)), distributor({}, edge_ids(this->settings), this->store),
+          log(*this, this->settings.id),
+          peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
+                this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
+          http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_record_bytes},
+               [this](http_request request, exchange_pointer exchange) {
+                   this->handle(std::move(request), std::move(exchange));
+               }),
+          submissions(this->metrics.counter("persimmongrade_submissions_total", "Submissions put into the log.")),
+          refusals(this->metrics.counter("persimmongrade_operator_refusals_total", "Refused operator requests.")),
+          revision_gauge(this->metrics.gauge("persimmongrade_revision", "Revision of the applied configuration.")),
+          leader_gauge(this->metrics.gauge("persimmongrade_leader", "1 while this process serves as leader.")),
+          term_gauge(this->metrics.gauge("persimmongrade_term", "Consensus term.")) {
+        loop.every(consensus_tick, [this] { this->log.tick(this->loop.now()); });
+        loop.every(distribution_tick, [this] { this->distribute(); });
+    }
+
+    // ---- Submissions ----
+
+    void submit(wire::command_bodyUnion body, exchange_pointer exchange) {
+        if (this->queue.size() + this->proposed.size() >= max_pending_submissions) {
+            this->refuse(exchange, operator_error::unavailable, "too many submissions are pending");
+            return;
+        }
+        wire::command_t command;
+        command.body = std::move(body);
+        this->queue.push_back({encode_command(command), std::move(exchange), this->loop.now()});
+        if (!std::exchange(this->flush_scheduled, true)) {
+            // Requests that arrive in the same turn of the loop share one append and one sync.
+            this->loop.after(duration::zero(), [this] { this->flush(); });
+        }
+    }
+
+    void flush() {
+        this->flush_scheduled = false;
+        auto batch = std::exchange(this->queue, {});
+        if (!this->refresh_authority()) {
+            for (submission& request : batch) {
+                this->refuse_not_leader(request.exchange);
+            }
+            return;
+        }
+        std::vector<std::vector<std::uint8_t>> payloads;
+        for (submission& request : batch) {
+            payloads.push_back(std::move(request.payload));
+        }
+        this->submissions.Increment(static_cast<double>(batch.size()));
+        this->log.propose(this->loop.now(), std::move(payloads), [&](std::uint64_t index, std::uint64_t term) {
+            for (submission& request : batch) {
+                this->proposed[index++] = {term, std::move(request)};
+            }
+        });
+    }
+
+    // A submission that was proposed may be committed by the next leader, so its outcome is unknown.
+    void answer_unknown(const submission& request, const std::string& reason) {
+        this->refuse(request.exchange, operator_error::outcome_unknown,
+                     reason + "; resend with the same Submission-Id to learn the outcome");
+    }
+
+    void expire_submissions(time_point now) {
+        std::erase_if(this->proposed, [&](auto& item) {
+            bool expired = now >= item.second.request.received_at + submission_timeout;
+            if (expired) {
+                this->answer_unknown(item.second.request, "no majority confirmed the submission in time");
+            }
+            return expired;
+        });
+    }
+
+    // ---- Log events ----
+
+    void apply_entry(const wire::log_entry_t& entry) {
+        auto node = this->proposed.extract(entry.index);
+        if (entry.kind != wire::entry_kind::command) {
+            return;
+        }
+        wire::submission_result_t result = this->store.apply(decode_command(entry.payload));
+        if (node.empty() || !node.mapped().request.exchange) {
+            return;
+        }
+        if (node.mapped().term != entry.term) {
+            this->refuse(node.mapped().request.exchange, operator_error::unavailable,
+                         "another leader replaced the submission before it was committed");
+            return;
+        }
+        node.mapped().request.exchange->respond(result_response(result));
+    }
+
+    void batch_applied() {
+        this->revision_gauge.Set(static_cast<double>(this->store.revision()));
+        this->distribute();
+        this->answer_watches();
+    }
+
+    void install_state(const std::vector<std::uint8_t>& bytes) { this->store = record_store::restore(bytes); }
+
+    void leadership_lost() {
+        auto lost = std::exchange(this->proposed, {});
+        for (auto& [index, entry] : lost) {
+            this->answer_unknown(entry.request, "the leader changed");
+        }
+        for (watch& waiting : std::exchange(this->watches, {})) {
+            this->refuse_not_leader(waiting.exchange);
+        }
+    }
+
+    // ---- Edges ----
+
+    // Tells the distributor what this process may say now; returns whether it is serving.
+    bool refresh_authority() {
+        time_point now = this->loop.now();
+        bool serving = this->log.can_serve_reads(now);
+        this->distributor.set_authority(now, unix_time_ms(), {serving, this->log.leader_id(), this->log.term()});
+        this->leader_gauge.Set(serving ? 1 : 0);
+        this->term_gauge.Set(static_cast<double>(this->log.term()));
+        return serving;
+    }
+
+    void distribute() {
+        this->refresh_authority();
+        time_point now = this->loop.now();
+        this->send_all(this->distributor.tick(now));
+        this->expire_submissions(now);
+        this->expire_watches(now);
+    }
+
+    void send_all(std::vector<peer_message> messages) {
+        for (peer_message& message : messages) {
+            this->peers.send_message(message.to, std::move(message.body));
+        }
+    }
+
+    void receive(const wire::envelope_t& envelope) {
+        time_point now = this->loop.now();
+        if (const auto* ping = envelope.body.Asedge_ping()) {
+            this->refresh_authority();
+            this->send_all(this->distributor.on_ping(now, *ping, {}));
+        } else if (const auto* ack = envelope.body.Asconfig_ack()) {
+            this->refresh_authority();
+            this->send_all(this->distributor.on_ack(now, *ack));
+        } else {
+            this->log.receive(now, envelope.from, envelope.body);
+        }
+    }
+
+    // ---- HTTP ----
+
+    void refuse(const exchange_pointer& exchange, operator_error type, const std::string& message) {
+        this->refusals.Increment();
+        if (exchange) {
+            exchange->respond(error_response(type, message));
+        }
+    }
+
+    // The HTTP address of a control process. Without one in the settings, the leader is assumed to listen on the port
+    // that this process uses.
+    std::string http_address_of(const std::string& id) const {
+        for (const auto& peer : this->settings.control) {
+            if (peer->id != id) {
+                continue;
+            }
+            if (!peer->http_address.empty()) {
+                return peer->http_address;
+            }
+            ip_address address = ip_address::parse(peer->address);
+            address.port = ip_address::parse(this->settings.http_address).port;
+            return address.to_string();
+        }
+        return {};
+    }
+
+    void refuse_not_leader(const exchange_pointer& exchange) {
+        if (!exchange) {
+            return;
+        }
+        this->refusals.Increment();
+        std::string leader = this->log.leader_id();
+        std::string address = this->http_address_of(leader);
+        if (this->log.is_leader() || address.empty()) {
+            exchange->respond(error_response(operator_error::unavailable, "no leader has a majority now"));
+            return;
+        }
+        http_response response = error_response(operator_error::not_leader, "the leader is " + leader,
+                                                {{"leader", leader}, {"leader_address", address}});
+        response.headers.push_back({"persimmon-leader", address});
+        exchange->respond(std::move(response));
+    }
+
+    void handle(http_request request, exchange_pointer exchange) {
+        if (request.path == "/healthz") {
+            exchange->respond({200, {}, "ok\n"});
+        } else if (request.path == "/readyz") {
+            bool ready = !this->log.leader_id().empty() && !this->is_stopping;
+            exchange->respond({ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n"});
+        } else if (request.path == "/metrics") {
+            exchange->respond({200, {{"content-type", "text/plain; version=0.0.4"}}, this->metrics.text()});
+        } else if (this->is_stopping) {
+            this->refuse(exchange, operator_error::stopping, "the process is stopping");
+        } else if (!this->refresh_authority()) {
+            this->refuse_not_leader(exchange);
+        } else {
+            this->route(request, exchange);
+        }
+    }
+
+    void route(const http_request& request, const exchange_pointer& exchange) {
+        std::string rest;
+        if (request.path == "/v1/records" && request.method == "POST") {
+            this->post_record(request, exchange);
+        } else if (request.path == "/v1/records" && request.method == "GET") {
+            this->list_records(exchange);
+        } else if (starts_with(request.path, "/v1/records/", rest) && request.method == "GET") {
+            this->get_record(rest, exchange);
+        } else if (starts_with(request.path, "/v1/records/", rest) && request.method == "DELETE") {
+            this->delete_record(rest, request, exchange);
+        } else if (request.path == "/v1/drains" && request.method == "POST") {
+            this->post_drain(request, exchange);
+        } else if (starts_with(request.path, "/v1/drains/", rest) && request.method == "DELETE") {
+            this->delete_drain(rest, request, exchange);
+        } else if (request.path == "/v1/status" && request.method == "GET") {
+            this->get_status(request, exchange);
+        } else if (request.path == "/v1/watch" && request.method == "GET") {
+            this->get_watch(request, exchange);
+        } else if (is_known_path(request.path)) {
+            this->refuse(exchange, operator_error::method_not_allowed, request.method + " " + request.path);
+        } else {
+            this->refuse(exchange, operator_error::not_found, "no such path: " + request.path);
+        }
+    }
+
+    static bool is_known_path(const std::string& path) {
+        std::string rest;
+        return path == "/v1/records" || path == "/v1/drains" || path == "/v1/status" || path == "/v1/watch" ||
+               starts_with(path, "/v1/records/", rest) || starts_with(path, "/v1/drains/", rest);
+    }
+
+    // The submission id of a request, or nothing after refusing it.
+    std::optional<std::string> submission_id(const http_request& request, const exchange_pointer& exchange) {
+        auto id = request.header("submission-id");
+        if (!id || !is_valid_submission_id(*id)) {
+            this->refuse(exchange, operator_error::bad_request,
+                         "the header Submission-Id is required: 1 to 128 visible ASCII characters, one per submission");
+            return std::nullopt;
+        }
+        return std::string(*id);
+    }
+
+    void post_record(const http_request& request, const exchange_pointer& exchange) {
+        auto id = this->submission_id(request, exchange);
+        if (!id) {
+            return;
+        }
+        wire::submit_record_t command;
+        command.submission_id = *id;
+        try {
+            command.record = std::make_unique<wire::steering_record_t>(parse_record(request.body));
+        } catch (const record_error& failure) {
+            this->refusals.Increment();
+            exchange->respond(record_error_response(failure));
+            return;
+        }
+        wire::command_bodyUnion body;
+        body.Set(std::move(command));
+        this->submit(std::move(body), exchange);
+    }
+
+    void delete_record(const std::string& name, const http_request& request, const exchange_pointer& exchange) {
+        auto id = this->submission_id(request, exchange);
+        auto version = parse_count(request.query_value("version"));
+        if (!id) {
+            return;
+        }
+        if (!version) {
+            this->refuse(exchange, operator_error::bad_request, "the query needs version=N, the version to withdraw");
+            return;
+        }
+        wire::withdraw_record_t command;
+        command.submission_id = *id;
+        command.name = name;
+        command.version = *version;
+        wire::command_bodyUnion body;
+        body.Set(std::move(command));
+        this->submit(std::move(body), exchange);
+    }
+
+    void post_drain(const http_request& request, const exchange_pointer& exchange) {
+        auto id = this->submission_id(request, exchange);
+        if (!id) {
+            return;
+        }
+        auto target = parse_drain_target(request.body);
+        if (!target) {
+            this->refuse(exchange, operator_error::bad_request, "the body must be {\"target\":\"<target id>\"}");
+            return;
+        }
+        wire::announce_drain_t command;
+        command.submission_id = *id;
+        command.drain = std::make_unique<wire::target_drain_t>();
+        command.drain->target = *target;
+        command.drain->announced_at_ms = unix_time_ms();
+        wire::command_bodyUnion body;
+        body.Set(std::move(command));
+        this->submit(std::move(body), exchange);
+    }
+
+    void delete_drain(const std::string& target, const http_request& request, const exchange_pointer& exchange) {
+        auto id = this->submission_id(request, exchange);
+        if (!id) {
+            return;
+        }
+        wire::cancel_drain_t command;
+        command.submission_id = *id;
+        command.target = target;
+        wire::command_bodyUnion body;
+        body.Set(std::move(command));
+        this->submit(std::move(body), exchange);
+    }
+
+    nlohmann::json described(const wire::steering_record_t& record) const {
+        nlohmann::json result = to_json(record);
+        std::uint64_t revision = this->store.record_revision(record.name);
+        result["revision"] = revision;
+        result["not_in_force"] = this->distributor.not_in_force(this->loop.now(), revision);
+        return result;
+    }
+
+    void list_records(const exchange_pointer& exchange) {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& record : this->store.configuration().records) {
+            list.push_back(this->described(*record));
+        }
+        exchange->respond(json_answer(200, {{"revision", this->store.revision()}, {"records", list}}));
+    }
+
+    void get_record(const std::string& name, const exchange_pointer& exchange) {
+        const wire::steering_record_t* record = this->store.find_record(name);
+        if (record == nullptr) {
+            this->refuse(exchange, operator_error::not_found, "there is no record '" + name + "'");
+            return;
+        }
+        exchange->respond(json_answer(200, this->described(*record)));
+    }
+
+    // With revision=N the answer says whether that revision is in force; otherwise the newest one.
+    void get_status(const http_request& request, const exchange_pointer& exchange) {
+        time_point now = this->loop.now();
+        std::uint64_t revision = parse_count(request.query_value("revision")).value_or(this->store.revision());
+        auto missing = this->distributor.not_in_force(now, revision);
+        nlohmann::json edges = nlohmann::json::array();
+        for (const wire::edge_info_t& edge : this->distributor.edges(now)) {
+            edges.push_back(to_json(edge));
+        }
+        nlohmann::json drains = nlohmann::json::array();
+        for (const drain_status& drain : this->distributor.drains(now)) {
+            drains.push_back(to_json(drain));
+        }
+        nlohmann::json assignments = nlohmann::json::array();
+        for (const auto& assignment : this->store.configuration().assignments) {
+            assignments.push_back(to_json(*assignment));
+        }
+        bool in_force = missing.empty() && revision <= this->store.revision();
+        exchange->respond(json_answer(200, {{"leader", this->log.leader_id()},
+                                            {"term", this->log.term()},
+                                            {"revision", this->store.revision()},
+                                            {"asked_revision", revision},
+                                            {"in_force", in_force},
+                                            {"not_in_force", missing},
+                                            {"edges", edges},
+                                            {"drains", drains},
+                                            {"assignments", assignments}}));
+    }
+
+    // Answers as soon as the revision is above `after`, or with the unchanged revision after the timeout.
+    void get_watch(const http_request& request, const exchange_pointer& exchange) {
+        auto after = parse_count(request.query_value("after"));
+        if (!after) {
+            this->refuse(exchange, operator_error::bad_request, "the query needs after=REVISION");
+            return;
+        }
+        if (this->watches.size() >= max_watches) {
+            this->refuse(exchange, operator_error::unavailable, "too many watches are open");
+            return;
+        }
+        this->watches.push_back({*after, exchange, this->loop.now() + watch_timeout});
+        this->answer_watches();
+    }
+
+    void answer_watches() {
+        std::erase_if(this->watches, [&](const watch& waiting) {
+            bool changed = this->store.revision() > waiting.after;
+            if (changed) {
+                waiting.exchange->respond(json_answer(200, to_json(this->store.changes_since(waiting.after))));
+            }
+            return changed;
+        });
+    }
+
+    void expire_watches(time_point now) {
+        std::erase_if(this->watches, [&](const watch& waiting) {
+            bool expired = now >= waiting.expires_at;
+            if (expired) {
+                waiting.exchange->respond(json_answer(200, {{"revision", this->store.revision()}, {"full", false}}));
+            }
+            return expired || waiting.exchange->closed();
+        });
+    }
+
+    // ---- Stop ----
+
+    void stop() {
+        if (std::exchange(this->is_stopping, true)) {
+            return;
+        }
+        log_info("planned stop", field("leader", this->log.is_leader()));
+        this->http.close_listener();
+        this->log.transfer_leadership(this->loop.now());
+        time_point latest = this->loop.now() + ms(this->settings.stop_timeout_ms);
+        this->loop.every(consensus_tick, [this, latest] {
+            bool done = this->proposed.empty() && this->queue.empty();
+            if (done || this->loop.now() >= latest) {
+                this->loop.stop();
+            }
+        });
+    }
+};
+
+control_server::control_server(event_loop& loop, wire::control_settings_t settings, control_options)
+    : state(std::make_unique<impl>(loop, std::move(settings))) {}
+
+control_server::~control_server() = default;
+
+void control_server::stop() {
+    this->state->stop();
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/control/distribution.cpp
@@ -0,0 +1,265 @@
+#include "persimmongrade/distribution.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmongrade {
+
+namespace {
+
+template <typename Body>
+peer_message make_message(const std::string& to, Body body) {
+    peer_message message;
+    message.to = to;
+    message.body.Set(std::move(body));
+    return message;
+}
+
+}  // namespace
+
+distribution::distribution(distribution_options options, const std::vector<std::string>& edges,
+                           const record_store& store)
+    : options(options), store(store) {
+    for (const std::string& id : edges) {
+        this->entries[id].info.id = id;
+    }
+}
+
+// ---- Leadership ----
+
+void distribution::set_authority(time_point now, std::int64_t unix_now_ms, const leader_authority& changed) {
+    // A lease that lapsed and came back within one term changes nothing: no other process was leader in between.
+    bool new_term = changed.serving && changed.term != this->authority.term;
+    bool first_service = changed.serving && !this->published_at;
+    std::uint64_t served_term = changed.serving ? changed.term : this->authority.term;
+    this->authority = changed;
+    this->authority.term = served_term;
+    if (new_term || first_service) {
+        this->take_over(now, unix_now_ms);
+    }
+}
+
+void distribution::take_over(time_point now, std::int64_t unix_now_ms) {
+    this->serving_since = now;
+    this->unix_offset_ms = unix_now_ms - now.time_since_epoch().count();
+    this->progress.clear();
+    for (auto& [id, entry] : this->entries) {
+        edge_entry fresh;
+        fresh.info.id = id;
+        fresh.lease_until = granter_expiry(now, this->options.configuration_lease);
+        entry = std::move(fresh);
+    }
+    this->publish(now);
+}
+
+// ---- Publication and pushes ----
+
+bool distribution::publish_due(time_point now) const {
+    return this->store.revision() != this->published && now >= *this->published_at + this->options.publish_interval;
+}
+
+void distribution::publish(time_point now) {
+    this->published = this->store.revision();
+    this->published_at = now;
+}
+
+std::vector<peer_message> distribution::tick(time_point now) {
+    std::vector<peer_message> messages;
+    if (!this->authority.serving) {
+        return messages;
+    }
+    if (this->publish_due(now)) {
+        this->publish(now);
+    }
+    for (auto& [id, entry] : this->entries) {
+        this->push_if_behind(now, entry, messages);
+    }
+    this->update_drains(now);
+    return messages;
+}
+
+// Sends the changes that the edge lacks. One push is in flight at a time, so changes accepted meanwhile travel
+// together in the next one. The content is that of the newest revision, which is published with it.
+void distribution::push_if_behind(time_point now, edge_entry& entry, std::vector<peer_message>& messages) {
+    bool reachable = entry.heard && now < entry.last_ping + this->options.alive_timeout;
+    bool behind = entry.applied < this->published || entry.needs_full;
+    bool waiting = entry.sent != 0 && now < entry.sent_at + this->options.resend_after;
+    if (!reachable || !behind || waiting) {
+        return;
+    }
+    if (this->published != this->store.revision()) {
+        this->publish(now);
+    }
+    wire::config_push_t push;
+    push.term = this->authority.term;
+    push.delta =
+        std::make_unique<wire::configuration_delta_t>(this->store.changes_since(entry.needs_full ? 0 : entry.applied));
+    entry.needs_full = false;
+    entry.sent = this->published;
+    entry.sent_at = now;
+    messages.push_back(make_message(entry.info.id, std::move(push)));
+}
+
+std::vector<peer_message> distribution::on_ack(time_point now, const wire::config_ack_t& ack) {
+    std::vector<peer_message> messages;
+    auto found = this->entries.find(ack.edge);
+    if (!this->authority.serving || found == this->entries.end() || !found->second.heard) {
+        return messages;
+    }
+    edge_entry& entry = found->second;
+    entry.sent = 0;
+    entry.needs_full = ack.need_full;
+    if (!ack.need_full) {
+        entry.applied = std::max(entry.applied, ack.revision);
+    }
+    this->push_if_behind(now, entry, messages);
+    return messages;
+}
+
+// ---- Pings ----
+
+std::vector<peer_message> distribution::on_ping(time_point now, const wire::edge_ping_t& ping, wire::edge_pong_t pong) {
+    std::vector<peer_message> messages;
+    if (!this->authority.serving) {
+        wire::not_leader_t refusal;
+        refusal.sequence = ping.sequence;
+        refusal.leader = this->authority.leader;
+        messages.push_back(make_message(ping.edge, std::move(refusal)));
+        return messages;
+    }
+    auto found = this->entries.find(ping.edge);
+    if (found == this->entries.end() || ping.incarnation < found->second.info.incarnation) {
+        return messages;
+    }
+    edge_entry& entry = found->second;
+    this->update_entry(now, entry, ping);
+    bool current = ping.applied_revision >= this->published;
+    pong.sequence = ping.sequence;
+    pong.leader = this->authority.leader;
+    pong.term = this->authority.term;
+    pong.committed_revision = this->published;
+    pong.config_lease_ms = current ? static_cast<std::uint32_t>(this->options.configuration_lease.count()) : 0;
+    if (current) {
+        entry.lease_until = granter_expiry(now, this->options.configuration_lease);
+    }
+    pong.edges.clear();
+    if (this->edge_table_known(now)) {
+        for (wire::edge_info_t& info : this->edges(now)) {
+            pong.edges.push_back(std::make_unique<wire::edge_info_t>(std::move(info)));
+        }
+    }
+    messages.push_back(make_message(ping.edge, std::move(pong)));
+    this->push_if_behind(now, entry, messages);
+    this->update_drains(now);
+    return messages;
+}
+
+void distribution::update_entry(time_point now, edge_entry& entry, const wire::edge_ping_t& ping) {
+    if (!entry.heard || ping.incarnation != entry.info.incarnation) {
+        entry.applied = 0;  // a restarted edge has lost its configuration
+        entry.sent = 0;
+    }
+    entry.heard = true;
+    entry.last_ping = now;
+    entry.applied = std::max(entry.applied, ping.applied_revision);
+    entry.reported = ping.applied_revision;
+    entry.info.incarnation = ping.incarnation;
+    entry.info.region = ping.region;
+    entry.info.zone = ping.zone;
+    entry.info.http_address = ping.http_address;
+    entry.info.peer_address = ping.peer_address;
+    entry.info.state = ping.state;
+    entry.info.ledger_voting = ping.ledger_voting;
+    entry.outstanding.clear();
+    for (const auto& item : ping.outstanding) {
+        entry.outstanding[item->target] += item->requests;
+    }
+}
+
+// A new leader hears of the edges one by one. Until it had time to hear of all, it sends no table, and the edges keep
+// the one they have instead of seeing their peers vanish.
+bool distribution::edge_table_known(time_point now) const {
+    return now >= this->serving_since + this->options.alive_timeout ||
+           std::all_of(this->entries.begin(), this->entries.end(), [](const auto& item) { return item.second.heard; });
+}
+
+// ---- Progress ----
+
+std::vector<wire::edge_info_t> distribution::edges(time_point now) const {
+    std::vector<wire::edge_info_t> result;
+    for (const auto& [id, entry] : this->entries) {
+        if (!entry.heard) {
+            continue;
+        }
+        wire::edge_info_t info = entry.info;
+        info.applied_revision = entry.applied;
+        info.alive = now < entry.last_ping + this->options.alive_timeout;
+        result.push_back(std::move(info));
+    }
+    return result;
+}
+
+// Whether the edge may still act on a configuration older than `revision`.
+bool distribution::may_act(time_point now, const edge_entry& entry, std::uint64_t revision) const {
+    return entry.applied < revision && now < entry.lease_until;
+}
+
+std::vector<std::string> distribution::not_in_force(time_point now, std::uint64_t revision) const {
+    std::vector<std::string> missing;
+    for (const auto& [id, entry] : this->entries) {
+        if (this->may_act(now, entry, revision)) {
+            missing.push_back(id);
+        }
+    }
+    return missing;
+}
+
+// Whether the edge has, or may still start, requests on the target. Counts taken before the edge applied the drain
+// prove nothing about requests started since. The counts of a silent edge without a lease are out of date.
+bool distribution::has_work(time_point now, const edge_entry& entry, const std::string& target,
+                            std::uint64_t revision) const {
+    bool has_lease = now < entry.lease_until;
+    bool alive = entry.heard && now < entry.last_ping + this->options.alive_timeout;
+    if (!alive) {
+        return has_lease;
+    }
+    bool busy = entry.outstanding.contains(target) && entry.outstanding.at(target) > 0;
+    return busy || (has_lease && entry.reported < revision);
+}
+
+void distribution::update_drains(time_point now) {
+    std::map<std::string, drain_status> updated;
+    for (drain_status& status : this->drains(now)) {
+        updated[status.target] = std::move(status);
+    }
+    this->progress = std::move(updated);
+}
+
+std::vector<drain_status> distribution::drains(time_point now) const {
+    std::vector<drain_status> result;
+    for (const auto& drain : this->store.drain_list()) {
+        drain_status status;
+        status.target = drain.target;
+        status.revision = this->store.drain_revision(drain.target);
+        status.announced_at_ms = drain.announced_at_ms;
+        for (const auto& [id, entry] : this->entries) {
+            auto count = entry.outstanding.find(drain.target);
+            status.outstanding += count == entry.outstanding.end() ? 0 : count->second;
+            if (this->has_work(now, entry, drain.target, status.revision)) {
+                status.waiting_for.push_back(id);
+            }
+        }
+        auto before = this->progress.find(drain.target);
+        bool same = before != this->progress.end() && before->second.revision == status.revision;
+        if (same && before->second.drain_time) {
+            status.drain_time = before->second.drain_time;
+        } else if (status.waiting_for.empty()) {
+            std::int64_t unix_now_ms = now.time_since_epoch().count() + this->unix_offset_ms;
+            status.drain_time = std::max(duration::zero(), ms(unix_now_ms - drain.announced_at_ms));
+        }
+        result.push_back(std::move(status));
+    }
+    return result;
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/control/operator_api.h
@@ -0,0 +1,57 @@
+// Bodies of the operators' HTTP interface: JSON of records, drains and answers, and typed errors.
+
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+#include "messages_generated.h"
+#include "persimmongrade/distribution.h"
+#include "persimmongrade/http.h"
+#include "persimmongrade/record.h"
+
+namespace persimmongrade {
+
+inline constexpr std::size_t max_submission_id_bytes = 128;
+inline constexpr duration retry_hint = ms(200);  // an election usually ends within this time or twice
+
+// Types of the "error" field of refusals to operators. `persimmonctl explain` describes each.
+enum class operator_error : std::uint8_t {
+    bad_request,
+    invalid_record,
+    version_conflict,
+    not_found,
+    method_not_allowed,
+    not_leader,
+    unavailable,
+    stopping,
+    outcome_unknown,
+    internal_error,
+};
+
+const char* to_string(operator_error type);
+
+// An answer {"error", "outcome", "message", "retry_after_ms"} with the status code of the type. `extra` is merged in.
+http_response error_response(operator_error type, const std::string& message,
+                             const nlohmann::json& extra = nlohmann::json::object());
+http_response record_error_response(const record_error& failure);
+http_response result_response(const wire::submission_result_t& result);
+
+nlohmann::json to_json(const wire::steering_record_t& record);
+nlohmann::json to_json(const wire::edge_info_t& edge);
+nlohmann::json to_json(const drain_status& drain);
+nlohmann::json to_json(const wire::assignment_t& assignment);
+nlohmann::json to_json(const wire::configuration_delta_t& delta);  // names only
+
+// The target of a drain announcement {"target": "..."}; nothing when the body is anything else.
+std::optional<std::string> parse_drain_target(const std::string& body);
+
+// Visible ASCII of at most `max_submission_id_bytes`.
+bool is_valid_submission_id(std::string_view id);
+
+// A JSON answer. Bytes that are no UTF-8 are replaced.
+http_response json_answer(int status, const nlohmann::json& body);
+
+}  // namespace persimmongrade
--- a/src/control/record_store.cpp
+++ b/src/control/record_store.cpp
@@ -189,7 +189,8 @@
     std::map<assignment_key, wire::assignment_t> updated = this->assignments;
     for (const auto& assignment : command.assignments) {
         if (!this->declares(assignment->service)) {
-            return refusal(wire::submission_status::invalid, "no record declares service '" + assignment->service + "'");
+            return refusal(wire::submission_status::invalid,
+                           "no record declares service '" + assignment->service + "'");
         }
         assignment_key key(assignment->service, assignment->caller_region);
         if (assignment->shares.empty()) {
@@ -279,6 +280,14 @@
     return found == this->drains.end() ? 0 : found->second.revision;
 }
 
+std::vector<wire::target_drain_t> record_store::drain_list() const {
+    std::vector<wire::target_drain_t> list;
+    for (const auto& [target, drain] : this->drains) {
+        list.push_back(drain.value);
+    }
+    return list;
+}
+
 wire::configuration_t record_store::configuration() const {
     wire::configuration_t result;
     result.revision = this->current_revision;
