--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -178,6 +178,7 @@
     std::uint64_t commit_index() const { return this->committed; }
     std::uint64_t last_index() const;
     std::uint64_t snapshot_index() const { return this->newest_snapshot->last_index; }
+    const snapshot_pointer& current_snapshot() const { return this->newest_snapshot; }  // load its data at start
     const wire::voter_set_t& voters() const;  // newest, possibly not yet committed
     bool membership_change_pending() const;   // uncommitted set, member not promoted or not yet removed
     std::uint64_t match_index(const std::string& member) const;  // leader only: acknowledged by the member; else 0
@@ -189,10 +190,11 @@
     struct progress {
         std::uint64_t match = 0;               // known to be synced there
         std::uint64_t next = 1;                // first index to send
+        bool probing = true;                   // the common prefix is unknown: `next` does not advance by sending
         std::optional<time_point> acked;       // send time of the newest request that it answered
         snapshot_pointer sending;              // set while a snapshot is transferred
         std::uint64_t offset = 0;              // next byte of the snapshot to send
-        std::optional<time_point> chunk_sent;  // unanswered chunk
+        std::optional<time_point> chunk_sent;  // when the unanswered chunk was sent
     };
 
     // A snapshot that is arriving in chunks.
@@ -208,6 +210,65 @@
         wire::voter_set_t voters;
     };
 
+    // Log.
+    std::uint64_t last_term() const;
+    std::optional<std::uint64_t> term_at(std::uint64_t index) const;  // nothing when outside the log
+    const wire::log_entry_t& entry_at(std::uint64_t index) const;
+    const wire::voter_set_t& voters_at(std::uint64_t index) const;
+    void append(wire::log_entry_t entry);
+    void append_own(wire::entry_kind kind, byte_string payload);
+    void truncate_from(std::uint64_t index);
+    void compact_to(std::uint64_t index);
+    void commit_to(std::uint64_t index);
+    void install(snapshot value);
+
+    // Roles.
+    void become_follower(time_point now, std::uint64_t term, const std::string& leader);
+    void accept_leader(time_point now, std::uint64_t term, const std::string& leader);
+    void start_pre_vote(time_point now);
+    void start_election(time_point now, bool transfer);
+    void count_votes(time_point now);
+    void become_leader(time_point now);
+    void wait_for_leader(time_point now);
+    duration random_duration(duration limit);
+    bool refuses_votes(time_point now) const;
+    bool log_is_current(const wire::vote_request_t& request) const;
+    bool entries_are_valid(const wire::append_request_t& request) const;
+
+    // Handlers.
+    void on_vote_request(time_point now, const wire::vote_request_t& request);
+    void on_vote_reply(time_point now, const std::string& from, const wire::vote_reply_t& reply);
+    void on_append_request(time_point now, const wire::append_request_t& request);
+    void on_append_reply(time_point now, const std::string& from, const wire::append_reply_t& reply);
+    void on_snapshot_chunk(time_point now, const wire::snapshot_chunk_t& chunk);
+    void on_snapshot_reply(time_point now, const std::string& from, const wire::snapshot_reply_t& reply);
+    void on_timeout_now(time_point now, const std::string& from, const wire::timeout_now_t& request);
+
+    // Leader.
+    enum class send_reason : std::uint8_t { heartbeat, proposal, reply };
+    void tick_leader(time_point now);
+    void replicate(time_point now, send_reason reason);
+    void replicate_to(time_point now, const std::string& member, progress& peer, send_reason reason);
+    void send_entries(time_point now, const std::string& member, progress& peer, bool with_entries);
+    void send_snapshot(time_point now, const std::string& member, progress& peer);
+    void note_acked(time_point now, progress& peer, std::uint64_t sequence);
+    std::uint64_t sequence_at(time_point now) const;
+    void advance_commit(time_point now);
+    void advance_membership(time_point now);
+    bool caught_up(time_point now, const std::string& member) const;
+    void append_voters(time_point now, const wire::voter_set_t& voters);
+    void update_members();
+    void continue_transfer();
+    std::optional<time_point> quorum_acked(time_point now) const;
+    bool has_committed_in_term() const;
+    void require_leader() const;
+
+    template <typename Message>
+    void send(const std::string& to, Message message);
+    template <typename Message>
+    void send_early(const std::string& to, Message message);
+    actions finish();
+
     consensus_options options;
     std::string own_id;
     std::mt19937_64 random;
@@ -226,7 +287,6 @@
     std::string leader;
     time_point heard_from_leader;  // votes are refused for one election timeout after this
     time_point election_due;
-    bool in_transfer_election = false;
     std::set<std::string> votes;
     std::optional<incoming_snapshot> incoming;
 
@@ -238,6 +298,8 @@
     bool transfer_sent = false;
     time_point transfer_due;
 
+    bool was_leader = false;  // as of the last actions value
+
     actions pending;  // built up during one call
 };
 
