--- a/include/persimmongrade/http_server.h
+++ b/include/persimmongrade/http_server.h
@@ -4,7 +4,8 @@
 //         exchange->respond({200, {}, "hello"});
 //     });
 //
-// Bodies are read whole before the handler runs and sent whole, with Content-Length.
+// Bodies are read whole before the handler runs and sent whole, with Content-Length. A handler that states another
+// content-length than the size of its body produces a truncated answer and a closed connection.
 
 #pragma once
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include <h2o/http1.h>
 
 #include <cerrno>
+#include <charconv>
 #include <numeric>
 
 #include "listener.h"
@@ -14,12 +15,22 @@
 namespace {
 
 constexpr duration close_check_period = ms(20);
+constexpr std::string_view content_length = "content-length";
 constexpr int status_caller_closed = 499;  // never reaches a caller
 
 std::string to_string(const h2o_iovec_t& text) {
     return {text.base, text.len};
 }
 
+// The length that the handler states in a content-length header, or else the size of the body.
+std::size_t declared_length(const http_response& response) {
+    std::size_t length = response.body.size();
+    if (auto text = response.header(content_length)) {
+        std::from_chars(text->data(), text->data() + text->size(), length);
+    }
+    return length;
+}
+
 class server_exchange;
 
 // What the exchanges of one server share.
@@ -42,8 +53,14 @@
         this->detach();
         req->res.status = response.status;
         req->res.reason = response.status < 400 ? "OK" : "Error";
-        req->res.content_length = response.body.size();
+        req->res.content_length = declared_length(response);
+        if (req->res.content_length != response.body.size() && to_string(req->method) != "HEAD") {
+            req->http1_is_persistent = 0;  // the closed connection shows the caller where the body ends
+        }
         for (const http_header& header : response.headers) {
+            if (header.name == content_length) {
+                continue;
+            }
             h2o_iovec_t name = h2o_strdup(&req->pool, header.name.data(), header.name.size());
             h2o_iovec_t value = h2o_strdup(&req->pool, header.value.data(), header.value.size());
             h2o_add_header_by_str(&req->pool, &req->res.headers, name.base, name.len, 1, nullptr, value.base,
