Declare the limits and steering interfaces

The edge and control daemons are written against these headers at the same time. edge_ping gains answered_sequence and answered_term, so that a granter knows which of its answers a holder had applied when it reported its use: only then may it stop counting slots of an expired lease.

--- /dev/null
+++ b/include/persimmongrade/capacity_lease.h
@@ -0,0 +1,291 @@
+// Division of limits among edges: standing floors and leases that expire. Pure: time is an argument.
+//
+//     control, every process:  granter.apply(configuration, now) for each applied revision
+//     control, new leader:     granter.become_leader(term, now) once everything committed before the term is applied
+//     control, leader:         pong = granter.answer(ping, now); the caller adds `leader` and `edges`
+//     edge, every 250 ms:      holder.prepare(ping, now); send
+//     edge, on an answer:      holder.receive(pong, now)
+//     edge, per request:       result = holder.reserve(claims, usage, now); dispatch; holder.complete(result.held, ...)
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "messages_generated.h"
+#include "persimmongrade/clock.h"
+#include "persimmongrade/error.h"
+#include "persimmongrade/rate_limiter.h"
+
+namespace persimmongrade {
+
+// ---- Resources and limits ----
+
+inline constexpr double rate_floor_fraction = 0.2;  // part of a rate limit that the standing floors divide
+inline constexpr double slot_floor_fraction = 0.5;  // part of slots and connections given out as standing floors
+inline constexpr double unlimited = std::numeric_limits<double>::infinity();
+inline constexpr double link_burst_bytes = 65536;  // one request or answer that a standing floor should hold
+
+// An edge id that is not in the list of edges.
+class unknown_edge_error : public error {
+public:
+    using error::error;
+};
+
+// What a limit applies to; see `resource_kind` in schema/common.fbs for the units.
+struct resource {
+    wire::resource_kind kind = wire::resource_kind::region;
+    std::string subject;
+
+    friend auto operator<=>(const resource&, const resource&) = default;
+};
+
+resource region_resource(std::string_view region);
+resource link_resource(std::string_view from, std::string_view to);  // one direction
+resource slots_resource(std::string_view service, std::string_view target);
+resource connections_resource(std::string_view service, std::string_view target);
+bool is_rate(const resource& subject) noexcept;  // region and link: per second; others: concurrency
+
+// Effective limits of one configuration: the minimum when several records limit the same region, link or service.
+// Immutable.
+class limit_table {
+public:
+    limit_table() = default;
+    explicit limit_table(const wire::configuration_t& configuration);
+
+    std::uint64_t revision() const noexcept { return this->revision_number; }
+    double
+    limit(const resource& subject) const;  // `unlimited` for regions and links without limit; 0 for unknown services
+    double floor(std::span<const std::string> edges, std::string_view edge, const resource& subject) const;
+    double burst(std::size_t edges, const resource& subject) const;  // burst fraction of a rate
+    bool floors_outlive_configuration() const noexcept;              // a service has `without_control: floor`
+    const std::map<resource, double>& rates() const noexcept { return this->rate_limits; }
+
+private:
+    struct service_limits {
+        double slots = unlimited;
+        double connections = unlimited;
+    };
+
+    std::uint64_t revision_number = 0;
+    std::map<resource, double> rate_limits;
+    std::map<std::string, service_limits, std::less<>> services;
+    bool outlive = false;
+};
+
+std::map<resource, double> effective_limits(const wire::configuration_t& configuration);  // regions and links
+
+// The standing floor of one edge: for a rate, 20% of the limit divided equally; for slots and connections, the floor
+// slots (half of them) whose rendezvous hash of (target, slot index) chooses this edge.
+// Throws unknown_edge_error when `edge` is not in `edges`.
+double floor_share(const wire::configuration_t& configuration, std::span<const std::string> edges,
+                   std::string_view edge, const resource& subject);
+
+// ---- Options common to granter and holder ----
+
+struct lease_options {
+    duration lease = ms(1000);
+    duration configuration_lease = ms(2000);
+    duration concurrency_hold = ms(10000);  // longest time a dispatched request may occupy a slot: the largest deadline
+
+    friend bool operator==(const lease_options&, const lease_options&) = default;
+};
+
+// ---- Granter (leader) ----
+
+// Answers edge pings with lease grants. One per control process; only the leader answers.
+class lease_granter {
+public:
+    explicit lease_granter(std::vector<std::string> edges, lease_options options = {});
+
+    // Tells of a newly applied revision, on every control process. `skipped` is true when revisions in between are
+    // unknown (a snapshot was installed); the first call counts as skipped.
+    void apply(const wire::configuration_t& configuration, time_point now, bool skipped = false);
+    // Starts a term. Until the longest lease of an earlier leader has certainly expired, only floors are in use.
+    void become_leader(std::uint64_t term, time_point now);
+    void step_down() noexcept;
+    bool leading() const noexcept { return this->is_leader; }
+
+    // Answers a ping: sequence, term, committed_revision, config_lease_ms (0 when the edge has not applied the
+    // committed revision) and grants above the floors. `leader` and `edges` are left to the caller.
+    // Throws unknown_edge_error. Must be called only while leading.
+    wire::edge_pong_t answer(const wire::edge_ping_t& ping, time_point now);
+
+    std::uint64_t revision() const noexcept;
+    time_point grants_start_at() const noexcept { return this->no_grants_until; }  // nothing above the floors before
+    double counted(const resource& subject, time_point now);                       // floors and leases, all edges
+
+private:
+    struct grant {
+        double amount = 0;
+        std::uint64_t sequence = 0;  // of the ping that it answered
+        time_point counted_until{};
+    };
+    struct account {  // one edge's share of one resource
+        std::vector<grant> grants;
+        double wanted = 0;
+        double used = 0;  // concurrency in use above the floor, as last reported
+        time_point used_counted_until{};
+        time_point wanted_at{};
+    };
+    struct sent_pong {
+        std::uint64_t sequence = 0;
+        time_point sent_at{};
+    };
+    struct edge_entry {
+        std::string id;
+        std::uint64_t incarnation = 0;
+        std::uint64_t last_sequence = 0;
+        std::uint64_t acknowledged_revision = 0;
+        time_point configuration_until{};  // the edge may use floors of old revisions until then
+        bool heard = false;                // in this term
+        std::vector<sent_pong> pongs;
+    };
+    struct past_revision {
+        limit_table limits;
+        time_point superseded_at{};
+    };
+    struct share_book {                 // all edges' accounts of one resource
+        std::vector<account> accounts;  // indexed as `edges`
+        std::vector<double> floors;     // counted floors, refreshed when `floors_version` is old
+        std::uint64_t floors_version = 0;
+    };
+
+    std::size_t index_of(std::string_view edge) const;
+    share_book& book(const resource& subject);
+    void refresh_floors(const resource& subject, share_book& shares);
+    double counted_floor(std::size_t edge, const resource& subject) const;
+    double counted_above_floor(const account& entry, time_point now) const;
+    double decide(const resource& subject, std::size_t edge, time_point now);
+    bool concurrency_known(time_point now) const;
+    void note_ping(edge_entry& edge, const wire::edge_ping_t& ping, time_point now);
+    void record_demand(std::size_t edge, const wire::edge_ping_t& ping, const wire::resource_demand_t& demand,
+                       std::optional<time_point> seen_after, time_point now);
+    void forget_past(time_point now);
+    time_point counted_until(time_point from, duration length) const;
+
+    lease_options options;
+    std::vector<std::string> edge_ids;
+    std::vector<edge_entry> edges;
+    std::map<std::string, std::size_t, std::less<>> edge_index;
+    std::map<resource, share_book> books;
+    limit_table current;
+    std::vector<past_revision> past;  // revisions that an edge may still hold
+    std::uint64_t floors_version = 1;
+    std::uint64_t term = 0;
+    bool is_leader = false;
+    bool any_revision = false;
+    time_point became_leader_at{};
+    time_point no_grants_until{};
+    time_point history_known_at{};
+};
+
+// ---- Holder (edge) ----
+
+// One amount of one resource that a request needs.
+struct resource_claim {
+    resource subject;
+    double amount = 1;
+
+    friend bool operator==(const resource_claim&, const resource_claim&) = default;
+};
+
+// Which shares a request may use.
+enum class floor_use : std::uint8_t {
+    with_configuration,     // floors and leases while the configuration lease is valid
+    without_configuration,  // also the floors afterwards: idempotent requests of a service with `without_control:
+                            // floor`
+};
+
+struct reservation_result {
+    wire::refusal_reason refused = wire::refusal_reason::none;  // none: all claims are held
+    std::optional<resource> refused_by;
+    duration retry_after = ms(0);      // hint for the caller or the queue
+    std::vector<resource_claim> held;  // for `complete` or `cancel`
+
+    explicit operator bool() const noexcept { return this->refused == wire::refusal_reason::none; }
+};
+
+// The shares of one edge: floors of its applied configuration and the leases it was granted.
+class lease_holder {
+public:
+    lease_holder(std::string edge, std::vector<std::string> edges, lease_options options = {});
+
+    // Applies a configuration revision; older revisions are ignored. Leases of a resource whose limit fell are dropped
+    // until a leader that knows the revision grants again.
+    void apply(const wire::configuration_t& configuration, time_point now);
+    // Sets sequence, applied_revision, demands and answered_* of a ping that is sent now to all control processes.
+    void prepare(wire::edge_ping_t& ping, time_point now);
+    void receive(const wire::edge_pong_t& pong, time_point now);  // late and duplicate answers are harmless
+
+    bool configuration_valid(time_point now) const noexcept;
+    time_point configuration_expires_at() const noexcept { return this->configuration_until; }
+    std::uint64_t committed_revision() const noexcept { return this->committed; }  // highest seen in an answer
+    std::uint64_t applied_revision() const noexcept { return this->limits.revision(); }
+
+    // Amount usable at `now`: floor and unexpired lease; 0 when the configuration lease has expired unless allowed.
+    double usable(const resource& subject, time_point now, floor_use use = floor_use::with_configuration) const;
+
+    // Reserves all claims or none, to be called at the moment of dispatch. Rates are taken from token buckets,
+    // concurrency is held until `complete`. A refused claim counts as demand for the next ping.
+    reservation_result reserve(std::span<const resource_claim> claims, time_point now,
+                               floor_use use = floor_use::with_configuration);
+    // Gives concurrency back, and corrects a link claim to the bytes really sent: an underestimate becomes a debt that
+    // blocks until paid, an overestimate returns tokens. `actual` lists only the claims to correct.
+    void complete(std::span<const resource_claim> held, time_point now, std::span<const resource_claim> actual = {});
+    // As `complete`, for a request that was not dispatched: tokens taken are returned as well.
+    void cancel(std::span<const resource_claim> held, time_point now);
+
+    double in_use(const resource& subject) const;  // concurrency held now
+
+private:
+    struct lease {
+        double amount = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t revision = 0;  // committed revision of the leader that granted it
+        time_point expires_at{};
+    };
+    struct share {
+        double floor = 0;
+        double limit = 0;
+        lease granted;
+        token_bucket bucket;         // rates only
+        double in_use = 0;           // concurrency only
+        double asked = 0;            // amount claimed since the last ping
+        double used = 0;             // amount admitted since the last ping
+        double largest_refused = 0;  // largest single claim refused since the last ping
+        double wanted = 0;           // smoothed demand, unit of the resource
+        time_point measured_at{};
+        time_point last_claimed_at{};
+    };
+
+    share& share_of(const resource& subject, time_point now);
+    double rate_at(const share& entry, time_point now, floor_use use) const;
+    void advance(share& entry, time_point now);
+    double available(share& entry, const resource& subject, time_point now, floor_use use);
+    bool admissible(share& entry, const resource_claim& claim, time_point now, floor_use use, duration& wait);
+    void measure(share& entry, const resource& subject, time_point now);
+    static wire::refusal_reason reason_for(const resource& subject) noexcept;
+
+    std::string edge;
+    std::vector<std::string> edges;
+    lease_options options;
+    limit_table limits;
+    std::map<resource, share> shares;
+    std::map<std::uint64_t, time_point> sent;  // pings without answer, by sequence
+    std::uint64_t next_sequence = 1;
+    std::uint64_t answered_sequence = 0;
+    std::uint64_t answered_term = 0;
+    std::uint64_t committed = 0;
+    time_point configuration_until{};
+};
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/include/persimmongrade/client_block_table.h
@@ -0,0 +1,144 @@
+// Longest-prefix table of client blocks (IPv4 and IPv6): client address -> site (a region, or a site of the large
+// deployment) as a small integer. Changes by revision touch only the buckets that the prefix covers.
+//
+//     client_block_table table(blocks, revision);
+//     auto site = table.find("203.0.113.9");
+//     if (site) region = table.site_name(*site);
+
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "persimmongrade/error.h"
+#include "record_generated.h"
+
+namespace persimmongrade {
+
+using site_index = std::uint16_t;
+
+// A prefix or address that cannot be parsed, or more than 65,535 sites.
+class client_block_error : public error {
+public:
+    using error::error;
+};
+
+// A delta whose base is not the revision of the table.
+class client_block_revision_error : public error {
+public:
+    using error::error;
+};
+
+// A numeric IPv4 or IPv6 address; an IPv4 address is in the first 4 bytes. IPv4-mapped IPv6 counts as IPv4.
+struct client_address {
+    std::array<std::uint8_t, 16> bytes{};
+    bool v6 = false;
+
+    friend auto operator<=>(const client_address&, const client_address&) = default;
+};
+
+client_address parse_client_address(std::string_view text);  // throws client_block_error
+
+// A block of addresses; bits after `length` are zero.
+struct client_prefix {
+    client_address address;
+    std::uint8_t length = 0;  // bits: 0 to 32 or 128
+
+    friend auto operator<=>(const client_prefix&, const client_prefix&) = default;
+};
+
+client_prefix parse_client_prefix(std::string_view text);  // throws client_block_error; clears bits after the length
+
+struct client_block_change {
+    client_prefix prefix;
+    std::optional<std::string> site;  // empty: the block is removed
+
+    friend bool operator==(const client_block_change&, const client_block_change&) = default;
+};
+
+struct client_block_delta {
+    std::uint64_t base_revision = 0;
+    std::uint64_t revision = 0;
+    std::vector<client_block_change> changes;
+
+    friend bool operator==(const client_block_delta&, const client_block_delta&) = default;
+};
+
+std::vector<std::uint8_t> encode(const client_block_delta& delta);  // about 8 bytes per IPv4 change and site name
+client_block_delta decode_client_block_delta(std::span<const std::uint8_t> bytes);  // throws client_block_error
+
+class client_block_table {
+public:
+    client_block_table() = default;
+    // When a prefix occurs twice, the last one counts. Throws client_block_error.
+    explicit client_block_table(std::span<const wire::client_block_t> blocks, std::uint64_t revision = 0);
+    // All client blocks of all records, in order of the records.
+    explicit client_block_table(const wire::configuration_t& configuration);
+
+    std::optional<site_index> find(const client_address& address) const noexcept;
+    std::optional<site_index> find(std::string_view address) const;  // throws client_block_error
+    const std::string& site_name(site_index site) const { return this->site_names.at(site); }
+
+    void apply(const client_block_delta& delta);  // throws client_block_revision_error
+    void apply(const client_block_change& change);
+
+    std::uint64_t revision() const noexcept { return this->revision_number; }
+    std::size_t size() const noexcept { return this->count; }  // blocks
+    std::size_t memory_bytes() const noexcept;
+
+private:
+    static constexpr site_index no_site = 0xffff;
+    static constexpr std::uint16_t far_parent = 0xffff;  // the parent is further back than 16 bits can say
+
+    // Prefixes longer than the bucket, sorted by (start, length); `parent` is the distance back to the enclosing one.
+    template <typename Key>
+    struct block {
+        Key start{};
+        site_index site = no_site;
+        std::uint16_t parent = 0;  // 0: none in this bucket
+        std::uint8_t length = 0;   // bits of the key
+    };
+    using v4_key = std::uint16_t;                 // low 16 bits
+    using v6_key = std::array<std::uint32_t, 3>;  // low 96 bits
+    template <typename Key>
+    using bucket = std::vector<block<Key>>;
+
+    template <typename Key>
+    static bool contains(const block<Key>& candidate, const Key& key) noexcept;
+    template <typename Key>
+    static site_index search(const bucket<Key>& blocks, const Key& key) noexcept;
+    template <typename Key>
+    static void link_parents(bucket<Key>& blocks);
+    template <typename Key>
+    static int change(bucket<Key>& blocks, const Key& start, std::uint8_t length, site_index site);
+
+    site_index intern(std::string_view site);
+    void insert_unlinked(const client_prefix& prefix, site_index site);
+    void sort_and_link();
+    void apply_v4(const client_prefix& prefix, site_index site);
+    void apply_v6(const client_prefix& prefix, site_index site);
+    site_index short_v4(std::uint32_t top) const noexcept;
+    site_index short_v6(std::uint32_t top) const noexcept;
+    void refresh_defaults(std::uint32_t first, std::uint32_t last);
+
+    std::uint64_t revision_number = 0;
+    std::size_t count = 0;
+    std::vector<std::string> site_names;
+    std::map<std::string, site_index, std::less<>> site_ids;
+    std::vector<bucket<v4_key>> v4;      // by the top 16 bits; empty until the first IPv4 block
+    std::vector<site_index> v4_default;  // site of the longest prefix of at most 16 bits
+    std::map<std::pair<std::uint8_t, std::uint32_t>, site_index> v4_short;  // (length, top 16 bits)
+    std::unordered_map<std::uint32_t, bucket<v6_key>> v6;                   // by the top 32 bits
+    std::map<std::pair<std::uint8_t, std::uint32_t>, site_index> v6_short;  // (length, top 32 bits)
+};
+
+}  // namespace persimmongrade
