--- /dev/null
+++ b/src/edge/edge_server.cpp
@@ -0,0 +1,277 @@
+#include "persimmongrade/edge_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+
+#include "announcement.h"
+#include "edge_context.h"
+#include "forwarder.h"
+#include "persimmongrade/http_server.h"
+#include "persimmongrade/log.h"
+#include "persimmongrade/peer_transport.h"
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr duration ping_period = ms(250);
+constexpr duration expiry_period = ms(250);
+constexpr duration stop_check_period = ms(20);
+
+std::vector<std::string> ids_of(const std::vector<std::unique_ptr<wire::peer_settings_t>>& peers) {
+    std::vector<std::string> ids;
+    std::transform(peers.begin(), peers.end(), std::back_inserter(ids), [](const auto& peer) { return peer->id; });
+    return ids;
+}
+
+}  // namespace
+
+struct edge_server::impl {
+    event_loop& loop;
+    wire::edge_settings_t settings;
+    metric_registry& metrics;
+    std::uint64_t incarnation = static_cast<std::uint64_t>(unix_time_ms());
+    edge_context edge;
+    forwarder forwarding;
+    peer_transport peers;
+    http_server http;
+    std::vector<std::unique_ptr<wire::edge_info_t>> live_edges;
+    std::vector<timer_id> timers;
+    std::function<void()> on_stopped;
+
+    impl(event_loop& loop, wire::edge_settings_t initial, metric_registry& metrics)
+        : loop(loop), settings(std::move(initial)),
+          metrics(metrics), edge{loop,
+                                 this->settings,
+                                 metrics,
+                                 refusal_counters(metrics),
+                                 http_client(loop),
+                                 config_client({this->settings.id, ids_of(this->settings.control)}),
+                                 std::make_shared<const configuration_index>(
+                                     std::make_shared<const wire::configuration_t>()),
+                                 {}},
+          forwarding(this->edge),
+          peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
+                metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
+          http(loop, ip_address::parse(this->settings.http_address), {this->settings.max_body_bytes},
+               [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+                   this->handle(std::move(request), std::move(exchange));
+               }) {
+        this->connect(this->settings.control);
+        this->connect(this->settings.edges);
+        this->timers.push_back(loop.every(ping_period, [this] { this->ping(); }));
+        this->timers.push_back(loop.every(expiry_period, [this] { this->expire_targets(); }));
+    }
+
+    ~impl() {
+        for (timer_id id : this->timers) {
+            this->loop.cancel(id);
+        }
+    }
+
+    void connect(const std::vector<std::unique_ptr<wire::peer_settings_t>>& list) {
+        for (const auto& peer : list) {
+            if (peer->id != this->settings.id) {
+                this->peers.add_peer(peer->id, ip_address::parse(peer->address), this->delay_to(peer->region));
+            }
+        }
+    }
+
+    duration delay_to(const std::string& region) const {
+        for (const auto& latency : this->settings.simulated_latency) {
+            if (latency->to_region == region) {
+                return ms(latency->one_way_ms);
+            }
+        }
+        return duration::zero();
+    }
+
+    // ---- Control processes ----
+
+    void ping() {
+        wire::edge_ping_t ping;
+        ping.incarnation = this->incarnation;
+        ping.state = this->edge.state;
+        ping.region = this->settings.region;
+        ping.zone = this->settings.zone;
+        ping.http_address = this->settings.http_address;
+        ping.peer_address = this->settings.peer_address;
+        for (const auto& [id, target] : this->edge.targets) {
+            auto entry = std::make_unique<wire::target_outstanding_t>();
+            entry->service = target.info.service;
+            entry->target = id;
+            entry->requests = target.outstanding;
+            ping.outstanding.push_back(std::move(entry));
+        }
+        this->perform(this->edge.config.ping(this->loop.now(), std::move(ping)));
+    }
+
+    void perform(config_actions actions) {
+        for (outgoing_message& message : actions.messages) {
+            this->peers.send_message(message.to, std::move(message.message));
+        }
+        if (actions.applied) {
+            this->edge.index = std::make_shared<const configuration_index>(this->edge.config.configuration());
+            log_info("configuration applied", field("revision", this->edge.config.revision()));
+        }
+        bool first_lease =
+            this->edge.state == wire::edge_state::starting && this->edge.config.lease_valid(this->loop.now());
+        if (first_lease) {
+            this->edge.state = wire::edge_state::serving;
+        }
+    }
+
+    // ---- Peer messages ----
+
+    void receive(const wire::envelope_t& envelope) {
+        time_point now = this->loop.now();
+        const wire::messageUnion& body = envelope.body;
+        switch (body.type) {
+        case wire::message::edge_pong: {
+            config_actions actions = this->edge.config.receive(now, envelope.from, *body.Asedge_pong());
+            if (actions.pong_accepted) {
+                wire::edge_pong_t pong(*body.Asedge_pong());
+                this->live_edges = std::move(pong.edges);
+            }
+            this->perform(std::move(actions));
+            return;
+        }
+        case wire::message::not_leader:
+            this->perform(this->edge.config.receive(now, envelope.from, *body.Asnot_leader()));
+            return;
+        case wire::message::config_push:
+            this->perform(this->edge.config.receive(now, envelope.from, *body.Asconfig_push()));
+            return;
+        case wire::message::target_update:
+            for (const auto& target : body.Astarget_update()->targets) {
+                this->update_target(*target);
+            }
+            return;
+        default:
+            return;
+        }
+    }
+
+    // ---- Targets ----
+
+    // Returns whether the announcement is newer than the known one.
+    bool update_target(const wire::target_info_t& info) {
+        known_target& known = this->edge.targets[info.id];
+        if (std::pair(known.info.incarnation, known.info.sequence) >= std::pair(info.incarnation, info.sequence)) {
+            return false;
+        }
+        known.info = info;
+        known.expires_at = this->loop.now() + ms(info.lease_ms);
+        return true;
+    }
+
+    void expire_targets() {
+        std::erase_if(this->edge.targets, [&](const auto& entry) {
+            return entry.second.expires_at <= this->loop.now() && entry.second.outstanding == 0;
+        });
+    }
+
+    void announce(const http_request& request, http_exchange& exchange) {
+        wire::target_info_t target = parse_announcement(request.body);
+        if (this->update_target(target)) {
+            wire::target_update_t update;
+            update.targets.push_back(std::make_unique<wire::target_info_t>(target));
+            for (const auto& peer : this->settings.edges) {
+                if (peer->id != this->settings.id) {
+                    this->peers.send(peer->id, update);
+                }
+            }
+            if (!this->edge.config.leader().empty()) {
+                this->peers.send(this->edge.config.leader(), update);
+            }
+        }
+        exchange.respond(announcement_response(this->edge.index->drained(target.id)));
+    }
+
+    // ---- HTTP ----
+
+    void handle(http_request request, std::shared_ptr<http_exchange> exchange) {
+        if (request.path.starts_with("/s/")) {
+            this->forwarding.handle(std::move(request), std::move(exchange));
+            return;
+        }
+        if (request.path == "/v1/targets") {
+            try {
+                this->announce(request, *exchange);
+            } catch (const announcement_error& reason) {
+                this->edge.refuse(*exchange, {wire::refusal_reason::bad_request, wire::outcome::none, reason.what()});
+            }
+            return;
+        }
+        if (request.path == "/v1/lookup") {
+            this->lookup(*exchange);
+            return;
+        }
+        this->handle_status(request, *exchange);
+    }
+
+    void lookup(http_exchange& exchange) {
+        nlohmann::json hosts = nlohmann::json::array();
+        for (const auto& info : this->live_edges) {
+            if (info->alive && info->state == wire::edge_state::serving) {
+                hosts.push_back({{"id", info->id}, {"address", info->http_address}, {"weight", 1}});
+            }
+        }
+        nlohmann::json body{{"ttl_ms", this->settings.lookup_ttl_ms}, {"hosts", hosts}};
+        exchange.respond(json_response(200, body.dump()));
+    }
+
+    void handle_status(const http_request& request, http_exchange& exchange) {
+        if (request.path == "/healthz") {
+            exchange.respond(json_response(200, R"({"status":"ok"})"));
+        } else if (request.path == "/readyz") {
+            bool ready = this->ready();
+            exchange.respond(json_response(ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"));
+        } else if (request.path == "/metrics") {
+            exchange.respond({200, {{"content-type", "text/plain; version=0.0.4"}}, this->metrics.text()});
+        } else {
+            this->edge.refuse(exchange, {wire::refusal_reason::bad_request, wire::outcome::none, "unknown path"});
+        }
+    }
+
+    bool ready() const {
+        return this->edge.state == wire::edge_state::serving && this->edge.config.lease_valid(this->loop.now());
+    }
+
+    // ---- Planned stop ----
+
+    void stop(std::function<void()> callback) {
+        if (this->on_stopped) {
+            return;
+        }
+        this->on_stopped = std::move(callback);
+        this->edge.state = wire::edge_state::stopping;
+        this->ping();
+        time_point started = this->loop.now();
+        this->timers.push_back(this->loop.every(stop_check_period, [this, started] {
+            duration elapsed = this->loop.now() - started;
+            bool cached_answers_expired = elapsed >= ms(this->settings.lookup_ttl_ms);
+            bool idle = this->edge.running_requests == 0 && this->http.open_exchanges() == 0;
+            if ((cached_answers_expired && idle) || elapsed >= ms(this->settings.stop_timeout_ms)) {
+                this->on_stopped();
+            }
+        }));
+    }
+};
+
+edge_server::edge_server(event_loop& loop, wire::edge_settings_t settings, metric_registry& metrics)
+    : state(std::make_unique<impl>(loop, std::move(settings), metrics)) {}
+
+edge_server::~edge_server() = default;
+
+void edge_server::stop(std::function<void()> on_stopped) {
+    this->state->stop(std::move(on_stopped));
+}
+
+bool edge_server::ready() const {
+    return this->state->ready();
+}
+
+}  // namespace persimmongrade
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -74,7 +74,9 @@
 
     void on_close(std::function<void()> callback) override {
         this->close_callback = std::move(callback);
-        this->table.watched.push_back(this->weak_from_this());
+        if (this->close_callback) {
+            this->table.watched.push_back(this->weak_from_this());
+        }
     }
 
     // h2o stops reading a connection while its request is being answered, so a caller that goes away is seen only by
