--- /dev/null
+++ b/include/persimmongrade/ledger.h
@@ -0,0 +1,340 @@
+// Request ledger: at-most-once execution of non-idempotent requests.
+//
+// Index: 1. Values  2. Replica sets  3. Replica  4. Coordinator
+//
+// An edge owns one ledger_replica and one ledger_coordinator. Both are pure: they return messages and outcomes, and
+// read no clock. Messages addressed to the edge itself are delivered to its own replica or coordinator.
+//
+//     auto actions = coordinator.begin(now, {request, key, "crew-dispatch", fingerprint, deadline});
+//     send(actions.messages);                        // peers.send(message.to, body) for each
+//     for (const auto& outcome : actions.outcomes)   // also returned by receive(), tick() and the others
+//         if (outcome.verdict == ledger_verdict::dispatch) forward(outcome.request, outcome.attempt);
+//     ...
+//     coordinator.complete(now, attempt, answer);        // answer received in full
+//     coordinator.not_dispatched(now, attempt, reason);  // proved that no target ran it
+//     coordinator.outcome_lost(now, attempt);            // the target may have run it
+//
+// Outcomes. `not_run` is a statement about the key, not about one attempt: an earlier send of the same key may have
+// run through another edge. Only an attempt that holds a majority of the replicas can state it, so an edge must call
+// begin() before it refuses a non-idempotent request as not_run for any reason, and must report `unknown` otherwise.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "messages_generated.h"
+#include "persimmongrade/clock.h"
+#include "persimmongrade/error.h"
+
+namespace persimmongrade {
+
+// ---- 1. Values ----
+
+inline constexpr duration ledger_retention = ms(20 * 60 * 1000);      // entries, from the time in the key
+inline constexpr duration ledger_max_key_age = ms(15 * 60 * 1000);    // older keys are refused
+inline constexpr duration ledger_max_key_future = ms(60 * 1000);      // keys further in the future are refused
+inline constexpr duration ledger_replica_max_future = ms(90 * 1000);  // the same at replicas, with 30 s of clock skew
+
+// An attempt counts claims only for this long after it sent them. A replica that lost its memory waits longer than
+// that before it copies, so that a claim it granted and forgot is either held by a member it copies from or can no
+// longer be counted.
+inline constexpr duration ledger_claim_window = ms(1000);
+inline constexpr duration ledger_settle_time = ms(1500);
+
+// The same after a change of members, where an edge that has not applied the change may start attempts until its
+// configuration lease (2,000 ms) ends.
+inline constexpr duration ledger_change_settle_time = ms(4000);
+
+inline constexpr duration ledger_resend_interval = ms(200);  // claims, completions and aborts without a reply
+inline constexpr duration ledger_query_interval = ms(50);    // attempt_query while another attempt runs
+inline constexpr std::uint32_t ledger_conflict_retry_ms = 100;
+
+// The replica set cannot be formed: there are no members, or the edge is not one.
+class ledger_membership_error : public error {
+public:
+    using error::error;
+};
+
+struct ledger_member {
+    std::string edge;
+    std::string region;
+
+    auto operator<=>(const ledger_member&) const = default;
+};
+
+// One execution attempt. Ordered, so that of two attempts that block each other one always yields.
+struct ledger_attempt {
+    std::string edge;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const ledger_attempt&) const = default;
+};
+
+using ledger_message_body =
+    std::variant<wire::claim_request_t, wire::claim_reply_t, wire::complete_request_t, wire::abort_request_t,
+                 wire::attempt_query_t, wire::attempt_status_t, wire::ledger_sync_request_t, wire::ledger_sync_reply_t>;
+
+struct ledger_message {
+    std::string to;  // edge id; may be the own one
+    ledger_message_body body;
+};
+
+enum class ledger_verdict : std::uint8_t {
+    dispatch,  // claimed on a majority: send to a target
+    replay,    // the key was run before: respond with `answer`
+    wait,      // another attempt runs; a final outcome follows by the deadline. Informative
+    refuse,    // respond with `reason` and `outcome`
+};
+
+struct ledger_outcome {
+    std::uint64_t request = 0;  // as passed to begin()
+    ledger_verdict verdict = ledger_verdict::refuse;
+    std::uint64_t attempt = 0;                            // dispatch: pass to complete() and the others
+    std::shared_ptr<const wire::stored_answer_t> answer;  // replay
+    wire::refusal_reason reason = wire::refusal_reason::none;
+    wire::outcome outcome = wire::outcome::none;
+    std::uint32_t retry_after_ms = 0;  // 0: no hint
+};
+
+struct ledger_actions {
+    std::vector<ledger_message> messages;
+    std::vector<ledger_outcome> outcomes;
+};
+
+// ---- 2. Replica sets ----
+
+// Members of the replica set of a key: one edge per region by rendezvous hash (XXH64), in order of region.
+std::vector<std::string> replica_set(std::string_view key, const std::vector<ledger_member>& members);
+
+// Members before and after a change. `previous` is empty when no change is in progress.
+//
+// A change goes: members {old}; {new, previous old} on every edge; when every edge reports voting(), {new}. Two edges
+// may differ by one of these steps at a time, never by two.
+struct ledger_members {
+    std::vector<ledger_member> current;
+    std::vector<ledger_member> previous;
+
+    std::vector<std::vector<std::string>> sets_of(std::string_view key) const;  // one or two sets
+    std::set<std::string> all_of(std::string_view key) const;                   // their union
+};
+
+// ---- 3. Replica ----
+
+struct ledger_replica_options {
+    std::string edge;                 // own id
+    std::uint64_t incarnation = 0;    // differs at each start
+    std::int64_t unix_offset_ms = 0;  // Unix time in ms minus `now` in ms; constant for the life of the process
+    bool first_start = false;  // the deployment never ran before: there is nothing to copy. Unsafe after a restart
+    std::size_t page_entries = 256;
+    std::size_t page_bytes = 4u << 20;
+};
+
+// Holds the entries of the keys whose replica set includes this edge.
+//
+// Not voting: after a start the replica grants no claim until it has copied the entries it shares with the members of
+// other regions, or the retention has passed. A key whose time is later than any that it can have accepted before the
+// start (start + ledger_replica_max_future) is the exception: nothing about it can have been lost.
+class ledger_replica {
+public:
+    ledger_replica(time_point now, ledger_replica_options options, ledger_members members);
+
+    // Handles a claim, completion, abort, or a sync message from edge `from`; others are ignored.
+    std::vector<ledger_message> receive(time_point now, const std::string& from, const ledger_message_body& body);
+
+    // Removes expired entries and requests pages to copy. Call every 100 ms or so.
+    std::vector<ledger_message> tick(time_point now);
+
+    void set_members(time_point now, ledger_members members);
+
+    bool voting() const noexcept;                               // on all keys; reported in edge_ping
+    bool votes_on(time_point now, std::string_view key) const;  // on this key
+    std::size_t entry_count() const noexcept;
+    std::size_t answer_bytes() const noexcept;  // held in bodies of stored answers
+
+private:
+    struct refusal {
+        ledger_attempt attempt;
+        time_point at;
+    };
+    struct entry {
+        std::string service;
+        std::uint64_t fingerprint = 0;
+        std::int64_t key_time_ms = 0;
+        std::vector<ledger_attempt> claims;                   // live; more than one only after copying
+        std::optional<ledger_attempt> aborted;                // last aborted attempt
+        std::optional<ledger_attempt> decided;                // attempt that completed or whose outcome is lost
+        std::shared_ptr<const wire::stored_answer_t> answer;  // null while `decided` is uncertain
+        std::optional<refusal> refused;
+    };
+    struct copy_progress {
+        std::uint64_t request_id = 0;  // of the page asked for; 0: none
+        std::uint64_t incarnation = 0;
+        std::string after_key;
+        time_point sent_at;
+        bool done = false;
+    };
+
+    std::vector<ledger_message> on_claim(time_point now, const std::string& from, const wire::claim_request_t& request);
+    std::vector<ledger_message> on_complete(const std::string& from, const wire::complete_request_t& request);
+    std::vector<ledger_message> on_abort(time_point now, const std::string& from, const wire::abort_request_t& request);
+    std::vector<ledger_message> on_sync_request(time_point now, const wire::ledger_sync_request_t& request) const;
+    std::vector<ledger_message> on_sync_reply(time_point now, const wire::ledger_sync_reply_t& reply);
+    bool accepts_time(time_point now, std::int64_t key_time_ms) const noexcept;
+    bool member_of(std::string_view key, const std::string& edge) const;
+    void merge(time_point now, const wire::ledger_entry_t& incoming);
+    void plan_copy();
+    wire::ledger_sync_request_t page_request(time_point now, copy_progress& progress);
+    wire::ledger_entry_t to_wire(time_point now, const std::string& key, const entry& value) const;
+    std::int64_t unix_ms(time_point now) const noexcept;
+
+    ledger_replica_options options;
+    ledger_members members;
+    time_point started_at;
+    time_point copy_from;  // no page is requested earlier
+    bool complete;         // holds all entries of its keys
+    bool complete_before;  // held all entries of the keys of the previous members
+    std::uint64_t last_request_id = 0;
+    std::size_t body_bytes = 0;
+    std::map<std::string, entry, std::less<>> entries;
+    std::map<std::string, copy_progress> copies;            // by edge to copy from
+    std::set<std::pair<std::int64_t, std::string>> expiry;  // key time, key
+};
+
+// ---- 4. Coordinator ----
+
+struct ledger_request {
+    std::uint64_t request = 0;  // chosen by the edge, unique in this process
+    std::string key;            // canonical UUID version 7
+    std::string service;
+    std::uint64_t fingerprint = 0;
+    time_point deadline;
+};
+
+struct ledger_coordinator_options {
+    std::string edge;
+    std::uint64_t incarnation = 0;     // differs at each start
+    std::int64_t unix_offset_ms = 0;   // as for the replica
+    duration keep_answer = ms(10000);  // at most this long after a majority stored it
+};
+
+// Runs on the edge that serves the request and owns its attempts.
+//
+// At most one attempt per key is active here. Further requests with the key share its outcome.
+class ledger_coordinator {
+public:
+    ledger_coordinator(ledger_coordinator_options options, ledger_members members);
+
+    // Starts an attempt, or joins the running one. Refuses at once: idempotency_key_invalid, key_expired (outcome
+    // unknown), key_from_future (not_run), key_reused.
+    ledger_actions begin(time_point now, const ledger_request& request);
+
+    // Handles claim_reply, attempt_query and attempt_status from edge `from`; others are ignored.
+    ledger_actions receive(time_point now, const std::string& from, const ledger_message_body& body);
+
+    // Resends, queries owners of other attempts, ends attempts at their deadline. Call at least every 50 ms.
+    ledger_actions tick(time_point now);
+
+    // The connection to the edge was lost: its claims no longer count until it has replied again.
+    ledger_actions peer_disconnected(time_point now, const std::string& edge);
+
+    // Outcome of a dispatched attempt. A call for an attempt that is not dispatched (any more) has no effect.
+    ledger_actions complete(time_point now, std::uint64_t attempt, wire::stored_answer_t answer);
+    ledger_actions not_dispatched(time_point now, std::uint64_t attempt, wire::refusal_reason reason);
+    ledger_actions outcome_lost(time_point now, std::uint64_t attempt,
+                                wire::refusal_reason reason = wire::refusal_reason::outcome_unknown);
+
+    void set_members(ledger_members members);
+
+    std::size_t running() const noexcept;      // attempts without an outcome; wait for 0 before stopping
+    std::size_t undelivered() const noexcept;  // outcomes not yet stored by all replicas; the same
+
+private:
+    struct waiter {
+        std::uint64_t request = 0;
+        time_point deadline;
+    };
+    struct vote {
+        bool replied = false;
+        bool granted = false;
+        std::uint64_t incarnation = 0;
+        std::optional<ledger_attempt> conflict;  // live claim of another attempt
+        std::optional<time_point> refused_at;    // latest not_run refusal of the key, in own time, never too early
+        time_point sent_at;
+    };
+    enum class phase : std::uint8_t { claiming, waiting, dispatched };
+    struct active {
+        std::string key;
+        std::string service;
+        std::uint64_t fingerprint = 0;
+        std::int64_t key_time_ms = 0;
+        std::uint64_t number = 0;
+        phase state = phase::claiming;
+        time_point begun_at;                // of the first request
+        time_point claimed_from;            // start of the current attempt
+        std::vector<waiter> waiters;        // the first one is dispatched
+        std::map<std::string, vote> votes;  // by replica
+        std::vector<std::vector<std::string>> sets;
+        std::optional<ledger_attempt> rival;  // waiting: the attempt waited for
+        time_point queried_at;
+        time_point heard_at;            // last status of the rival
+        std::set<ledger_attempt> gone;  // attempts whose owner does not know or does not reply
+        bool conflicted = false;
+        bool wait_told = false;
+    };
+    struct finished {
+        std::string key;
+        std::string service;
+        std::uint64_t fingerprint = 0;
+        std::int64_t key_time_ms = 0;
+        wire::ledger_state state = wire::ledger_state::aborted;
+        std::shared_ptr<const wire::stored_answer_t> answer;
+        std::optional<time_point> refused_at;
+        std::set<std::string> pending;  // replicas that have not confirmed
+        std::size_t replicas = 0;
+        time_point finished_at;
+        time_point sent_at;
+    };
+
+    void on_claim_reply(time_point now, const std::string& from, const wire::claim_reply_t& reply, ledger_actions& out);
+    void on_status(time_point now, const std::string& from, const wire::attempt_status_t& status, ledger_actions& out);
+    void on_query(time_point now, const std::string& from, const wire::attempt_query_t& query,
+                  ledger_actions& out) const;
+    bool settle_by_entry(time_point now, active& attempt, const wire::ledger_entry_t& entry, ledger_actions& out);
+    bool majority(const active& attempt) const;
+    void evaluate(time_point now, active& attempt, ledger_actions& out);
+    void start_round(time_point now, active& attempt, ledger_actions& out);
+    void send_claim(time_point now, active& attempt, const std::string& replica, ledger_actions& out);
+    void query_rivals(time_point now, active& attempt, ledger_actions& out);
+    void yield_to(time_point now, active& attempt, const ledger_attempt& rival, ledger_actions& out);
+    void retire(time_point now, const active& attempt, wire::ledger_state state,
+                std::shared_ptr<const wire::stored_answer_t> answer, bool refused, ledger_actions& out);
+    void send_finished(time_point now, std::uint64_t number, finished& record, ledger_actions& out) const;
+    void finish_refused(time_point now, const std::string& key, wire::refusal_reason reason, wire::outcome outcome,
+                        ledger_actions& out);
+    void finish_replayed(time_point now, const std::string& key, std::shared_ptr<const wire::stored_answer_t> answer,
+                         ledger_actions& out);
+    void tick_active(time_point now, active& attempt, ledger_actions& out);
+    void expire_waiters(time_point now, active& attempt, ledger_actions& out) const;
+    void tick_finished(time_point now, ledger_actions& out);
+    active* dispatched(std::uint64_t attempt);
+    ledger_attempt id_of(std::uint64_t number) const;
+
+    ledger_coordinator_options options;
+    ledger_members members;
+    std::uint64_t last_number = 0;
+    std::map<std::string, active> active_by_key;
+    std::map<std::uint64_t, finished> finished_by_number;  // kept for the retention, without answers once delivered
+    std::set<std::uint64_t> unconfirmed;                   // numbers in finished_by_number with pending replicas
+};
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/include/persimmongrade/quarantine.h
@@ -0,0 +1,83 @@
+// Requests that crash targets: a fingerprint that killed two distinct targets is refused for 10 minutes.
+//
+//     if (requests.quarantined(now, service, fingerprint)) refuse(wire::refusal_reason::quarantined);
+//     send(requests.connection_lost(now, {service, fingerprint, target, region}));
+//     send(requests.target_gone(now, service, target));   // refused a connection, or its announcements stopped
+//     requests.target_alive(now, service, target);        // announced itself or answered
+//
+// A loss counts once the target is confirmed dead after it. Notices go to every other edge: with one target they
+// report a confirmed death, so that deaths seen by different edges add up; with two or more the quarantine itself.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "messages_generated.h"
+#include "persimmongrade/clock.h"
+
+namespace persimmongrade {
+
+inline constexpr duration quarantine_time = ms(10 * 60 * 1000);
+inline constexpr std::size_t quarantine_targets = 2;           // distinct targets that died
+inline constexpr duration death_confirmation_time = ms(5000);  // after the loss: lease of 3 s, delta and margin
+inline constexpr duration region_loss_time = ms(2000);
+inline constexpr std::size_t region_loss_fingerprints = 3;  // distinct ones lost in that time: the region failed
+
+struct lost_request {
+    std::string service;
+    std::uint64_t fingerprint = 0;
+    std::string target;
+    std::string region;
+};
+
+class quarantine {
+public:
+    bool quarantined(time_point now, std::string_view service, std::uint64_t fingerprint) const;
+
+    // The connection to the target was lost during the request, before its answer was complete.
+    std::vector<wire::quarantine_notice_t> connection_lost(time_point now, const lost_request& lost);
+
+    // The target refused a connection or stopped announcing itself.
+    std::vector<wire::quarantine_notice_t> target_gone(time_point now, const std::string& service,
+                                                       const std::string& target);
+
+    // The target announced itself or answered: a loss on it that is not yet confirmed was only a broken connection.
+    void target_alive(const std::string& service, const std::string& target);
+
+    std::vector<wire::quarantine_notice_t> receive(time_point now, const wire::quarantine_notice_t& notice);
+    void tick(time_point now);  // forgets expired entries and losses
+
+    std::vector<wire::quarantine_notice_t> all(time_point now) const;  // for an edge that connects
+    std::size_t size(time_point now) const;
+
+private:
+    using fingerprint_key = std::pair<std::string, std::uint64_t>;  // service, fingerprint
+    struct loss {
+        lost_request what;
+        time_point at;
+        bool confirmed = false;
+        bool region_failed = false;  // part of a region's failure: never counts
+        bool remote = false;
+    };
+    struct quarantined_entry {
+        time_point expires_at;
+        wire::quarantine_notice_t notice;
+    };
+
+    std::vector<wire::quarantine_notice_t> mark_region_failures(time_point now, const std::string& region);
+    std::vector<wire::quarantine_notice_t> evaluate(time_point now, const fingerprint_key& key);
+    std::vector<const loss*> deaths(const fingerprint_key& key) const;
+    static wire::quarantine_notice_t notice_of(time_point now, const std::vector<const loss*>& deaths,
+                                               duration expires_in);
+
+    std::vector<loss> losses;
+    std::map<fingerprint_key, quarantined_entry> entries;
+};
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/include/persimmongrade/target_pool.h
@@ -0,0 +1,187 @@
+// Target membership and load balancing of one edge.
+//
+//     pool.announce(now, info);                                        // POST /v1/targets
+//     broadcast(pool.take_delta(now));                                 // target_update to the other edges
+//     if (auto target = pool.pick(now, "crew-dispatch", {"north"}, tried)) {
+//         pool.started(target->service, target->id);
+//         ...
+//         pool.finished(now, target->service, target->id, {target_result::success, latency});
+//     }
+//
+// Load order of two targets: own outstanding requests relative to slots, scaled by the latency, errors and sheds that
+// this edge observed; the reported load changes the order of otherwise equal targets only.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "messages_generated.h"
+#include "persimmongrade/clock.h"
+
+namespace persimmongrade {
+
+inline constexpr duration target_lease = ms(3000);  // from the last announcement
+inline constexpr duration slow_start_time = ms(10000);
+inline constexpr double slow_start_floor = 0.1;        // share of its slots that a cold target starts with
+inline constexpr std::uint32_t ejection_failures = 5;  // consecutive
+inline constexpr duration ejection_time = ms(5000);    // doubled at each further ejection, up to 8 times
+
+// Outcome of one request as observed by this edge.
+enum class target_result : std::uint8_t {
+    success,
+    shed,   // refused before running
+    error,  // answer says that the target failed
+    timeout,
+    connect_failed,
+    connection_lost,
+    cancelled,  // ended by the caller or the edge; says nothing about the target
+};
+
+struct target_observation {
+    target_result result = target_result::success;
+    duration latency = duration::zero();  // time to the complete answer; used for success only
+};
+
+struct target_choice {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string region;
+    std::string zone;
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const target_choice&) const = default;
+};
+
+// State of one target, for /metrics, edge_ping and tests.
+struct target_view {
+    target_choice target;
+    std::uint32_t outstanding = 0;
+    bool draining = false;
+    bool ejected = false;
+    bool cold = false;      // within slow_start_time
+    double score = 0;       // load order
+    double latency_ms = 0;  // smoothed, 0 before the first success
+
+    bool operator==(const target_view&) const = default;
+};
+
+enum class selection_method : std::uint8_t { two_random_choices, round_robin, full_scan };
+
+struct target_pool_options {
+    selection_method method = selection_method::two_random_choices;  // the others serve for comparison
+    std::uint64_t seed = 0;
+};
+
+class target_pool {
+public:
+    explicit target_pool(target_pool_options options);
+
+    // An announcement received by this edge. False when it is older (incarnation, sequence) than the known one.
+    bool announce(time_point now, const wire::target_info_t& info);
+
+    // State from another edge: only lease time left there (lease_ms) counts here. Returns ids that expired by it.
+    void apply(time_point now, const wire::target_update_t& update);
+
+    // Removes targets whose lease ended and returns them; ends ejections.
+    std::vector<target_choice> tick(time_point now);
+
+    // Announcements accepted here since the last call, for the other edges; and all of them, for a new connection.
+    wire::target_update_t take_delta(time_point now);
+    wire::target_update_t full_update(time_point now) const;
+
+    // Drains from the configuration, in addition to the state that targets announce. Replaces the former set.
+    void set_drains(std::set<std::string> targets);
+    bool should_drain(std::string_view target) const;
+
+    // A target of the service in one of the regions that may get a request: alive, not draining, not ejected, with a
+    // free slot, not in `excluded`. Does not count the request; see started(). `slots_free(choice)` may be added by
+    // the caller through `usable`, for leased slots.
+    std::optional<target_choice> pick(time_point now, std::string_view service, const std::vector<std::string>& regions,
+                                      const std::vector<std::string>& excluded = {});
+    template <typename Usable>
+    std::optional<target_choice> pick_if(time_point now, std::string_view service,
+                                         const std::vector<std::string>& regions,
+                                         const std::vector<std::string>& excluded, Usable usable) {
+        return this->choose(now, this->candidates(now, service, regions, excluded, usable));
+    }
+
+    void started(const std::string& service, const std::string& id);
+    void finished(time_point now, const std::string& service, const std::string& id, target_observation observation);
+
+    std::uint32_t outstanding(const std::string& service, const std::string& id) const;  // also after the lease ended
+    std::vector<wire::target_outstanding_t> all_outstanding() const;
+    std::vector<target_view> view(time_point now, std::string_view service) const;
+    std::vector<std::string> services() const;
+
+private:
+    struct target {
+        wire::target_info_t info;
+        time_point expires_at;
+        time_point warm_at;  // end of slow start
+        time_point ejected_until;
+        std::uint32_t consecutive_failures = 0;
+        std::uint32_t ejections = 0;
+        double latency_ms = 0;  // smoothed
+        double trouble = 0;     // smoothed share of errors and sheds, 0 to 1
+        time_point troubled_at;
+        bool local_change = false;  // announced here since the last take_delta()
+    };
+    using service_targets = std::map<std::string, target, std::less<>>;
+    struct candidate {
+        const target* which = nullptr;
+        double score = 0;
+    };
+
+    template <typename Usable>
+    std::vector<candidate> candidates(time_point now, std::string_view service, const std::vector<std::string>& regions,
+                                      const std::vector<std::string>& excluded, Usable usable) const;
+    std::optional<target_choice> choose(time_point now, const std::vector<candidate>& from);
+    bool store(time_point now, const wire::target_info_t& info, duration lease, bool local);
+    bool available(time_point now, const target& which) const;
+    bool matches(time_point now, const target& which, const std::vector<std::string>& regions,
+                 const std::vector<std::string>& excluded) const;
+    void fail(time_point now, service_targets& pool, target& which) const;
+    double score(time_point now, const target& which, double mean_latency_ms) const;
+    static double ramp(time_point now, const target& which);
+    static double mean_latency(const service_targets& pool);
+    static target_choice choice_of(const target& which);
+
+    target_pool_options options;
+    std::mt19937_64 random;
+    std::map<std::string, service_targets, std::less<>> by_service;
+    std::map<std::string, std::map<std::string, std::uint32_t>> outstanding_by_service;
+    std::map<std::string, std::size_t, std::less<>> turn;  // round robin, by service
+    std::set<std::string, std::less<>> drains;
+};
+
+template <typename Usable>
+std::vector<target_pool::candidate>
+target_pool::candidates(time_point now, std::string_view service, const std::vector<std::string>& regions,
+                        const std::vector<std::string>& excluded, Usable usable) const {
+    std::vector<candidate> found;
+    auto pool = this->by_service.find(service);
+    if (pool == this->by_service.end()) {
+        return found;
+    }
+    double latency = mean_latency(pool->second);
+    for (const auto& [id, which] : pool->second) {
+        if (this->matches(now, which, regions, excluded) && usable(choice_of(which))) {
+            found.push_back({&which, this->score(now, which, latency)});
+        }
+    }
+    return found;
+}
+
+}  // namespace persimmongrade
