--- a/include/persimmongrade/quarantine.h
+++ b/include/persimmongrade/quarantine.h
@@ -70,7 +70,7 @@
         wire::quarantine_notice_t notice;
     };
 
-    std::vector<wire::quarantine_notice_t> mark_region_failures(time_point now, const std::string& region);
+    std::vector<wire::quarantine_notice_t> mark_region_failures(const std::string& region);
     std::vector<wire::quarantine_notice_t> evaluate(time_point now, const fingerprint_key& key);
     std::vector<const loss*> deaths(const fingerprint_key& key) const;
     static wire::quarantine_notice_t notice_of(time_point now, const std::vector<const loss*>& deaths,
--- a/include/persimmongrade/target_pool.h
+++ b/include/persimmongrade/target_pool.h
@@ -32,7 +32,7 @@
 inline constexpr duration target_lease = ms(3000);  // from the last announcement
 inline constexpr duration slow_start_time = ms(10000);
 inline constexpr double slow_start_floor = 0.1;        // share of its slots that a cold target starts with
-inline constexpr std::uint32_t ejection_failures = 5;  // consecutive
+inline constexpr std::uint32_t ejection_failures = 5;  // consecutive; sheds do not count
 inline constexpr duration ejection_time = ms(5000);    // doubled at each further ejection, up to 8 times
 
 // Outcome of one request as observed by this edge.
@@ -91,7 +91,8 @@
     // An announcement received by this edge. False when it is older (incarnation, sequence) than the known one.
     bool announce(time_point now, const wire::target_info_t& info);
 
-    // State from another edge: only lease time left there (lease_ms) counts here. Returns ids that expired by it.
+    // State from another edge. Leases end when they end there (lease_ms). Targets first learned from a full update are
+    // not cold: the other edge knew them before.
     void apply(time_point now, const wire::target_update_t& update);
 
     // Removes targets whose lease ended and returns them; ends ejections.
@@ -102,19 +103,19 @@
     wire::target_update_t full_update(time_point now) const;
 
     // Drains from the configuration, in addition to the state that targets announce. Replaces the former set.
-    void set_drains(std::set<std::string> targets);
+    void set_drains(time_point now, const std::set<std::string>& targets);
     bool should_drain(std::string_view target) const;
 
     // A target of the service in one of the regions that may get a request: alive, not draining, not ejected, with a
-    // free slot, not in `excluded`. Does not count the request; see started(). `slots_free(choice)` may be added by
-    // the caller through `usable`, for leased slots.
+    // free slot, not in `excluded`. Does not count the request; see started(). pick_if() considers only targets for
+    // which `usable(choice)` is true, for example those with a leased slot left.
     std::optional<target_choice> pick(time_point now, std::string_view service, const std::vector<std::string>& regions,
                                       const std::vector<std::string>& excluded = {});
     template <typename Usable>
     std::optional<target_choice> pick_if(time_point now, std::string_view service,
                                          const std::vector<std::string>& regions,
                                          const std::vector<std::string>& excluded, Usable usable) {
-        return this->choose(now, this->candidates(now, service, regions, excluded, usable));
+        return this->choose(this->candidates(now, service, regions, excluded, usable));
     }
 
     void started(const std::string& service, const std::string& id);
@@ -147,12 +148,15 @@
     template <typename Usable>
     std::vector<candidate> candidates(time_point now, std::string_view service, const std::vector<std::string>& regions,
                                       const std::vector<std::string>& excluded, Usable usable) const;
-    std::optional<target_choice> choose(time_point now, const std::vector<candidate>& from);
-    bool store(time_point now, const wire::target_info_t& info, duration lease, bool local);
-    bool available(time_point now, const target& which) const;
+    std::optional<target_choice> choose(const std::vector<candidate>& from);
+    bool store(time_point now, const wire::target_info_t& info, duration lease, bool local, bool warm);
+    bool draining(const target& which) const;
     bool matches(time_point now, const target& which, const std::vector<std::string>& regions,
                  const std::vector<std::string>& excluded) const;
-    void fail(time_point now, service_targets& pool, target& which) const;
+    void record_failure(time_point now, service_targets& pool, target& which) const;
+    void keep_minimum(time_point now, service_targets& pool) const;
+    void keep_all_minimums(time_point now);
+    wire::target_info_t with_lease(time_point now, const target& which) const;
     double score(time_point now, const target& which, double mean_latency_ms) const;
     static double ramp(time_point now, const target& which);
     static double mean_latency(const service_targets& pool);
--- /dev/null
+++ b/src/request/quarantine.cpp
@@ -0,0 +1,191 @@
+#include "persimmongrade/quarantine.h"
+
+#include <algorithm>
+#include <set>
+
+namespace persimmongrade {
+
+bool quarantine::quarantined(time_point now, std::string_view service, std::uint64_t fingerprint) const {
+    auto found = this->entries.find({std::string(service), fingerprint});
+    return found != this->entries.end() && now < found->second.expires_at;
+}
+
+std::vector<wire::quarantine_notice_t> quarantine::connection_lost(time_point now, const lost_request& lost) {
+    this->losses.push_back({lost, now});
+    return this->mark_region_failures(lost.region);
+}
+
+std::vector<wire::quarantine_notice_t> quarantine::target_gone(time_point now, const std::string& service,
+                                                               const std::string& target) {
+    std::set<fingerprint_key> changed;
+    for (auto& entry : this->losses) {
+        bool same = entry.what.service == service && entry.what.target == target;
+        if (same && !entry.confirmed && now - entry.at <= death_confirmation_time) {
+            entry.confirmed = true;
+            changed.insert({service, entry.what.fingerprint});
+        }
+    }
+    std::vector<wire::quarantine_notice_t> notices;
+    for (const auto& key : changed) {
+        auto found = this->evaluate(now, key);
+        notices.insert(notices.end(), found.begin(), found.end());
+    }
+    return notices;
+}
+
+void quarantine::target_alive(const std::string& service, const std::string& target) {
+    std::erase_if(this->losses, [&](const loss& entry) {
+        return !entry.confirmed && entry.what.service == service && entry.what.target == target;
+    });
+}
+
+std::vector<wire::quarantine_notice_t> quarantine::receive(time_point now, const wire::quarantine_notice_t& notice) {
+    fingerprint_key key{notice.service, notice.fingerprint};
+    if (notice.targets.size() >= quarantine_targets) {
+        if (notice.expires_in_ms == 0) {
+            this->entries.erase(key);
+            return {};
+        }
+        auto expires_at = now + std::min(ms(notice.expires_in_ms), quarantine_time);
+        auto& entry = this->entries[key];
+        entry.expires_at = std::max(entry.expires_at, expires_at);
+        entry.notice = notice;
+        return {};
+    }
+    if (notice.targets.size() != notice.regions.size() || notice.targets.size() != notice.lost_ms_ago.size()) {
+        return {};
+    }
+    std::vector<wire::quarantine_notice_t> notices;
+    for (std::size_t i = 0; i < notice.targets.size(); ++i) {
+        loss remote{{notice.service, notice.fingerprint, notice.targets[i], notice.regions[i]},
+                    now - ms(notice.lost_ms_ago[i]),
+                    true,
+                    false,
+                    true};
+        bool known = std::any_of(this->losses.begin(), this->losses.end(), [&](const loss& entry) {
+            return entry.confirmed && entry.what.service == key.first && entry.what.fingerprint == key.second &&
+                   entry.what.target == remote.what.target;
+        });
+        if (!known) {
+            this->losses.push_back(remote);
+            auto withdrawn = this->mark_region_failures(remote.what.region);
+            notices.insert(notices.end(), withdrawn.begin(), withdrawn.end());
+        }
+    }
+    auto found = this->evaluate(now, key);
+    notices.insert(notices.end(), found.begin(), found.end());
+    return notices;
+}
+
+void quarantine::tick(time_point now) {
+    std::erase_if(this->entries, [now](const auto& entry) { return now >= entry.second.expires_at; });
+    std::erase_if(this->losses, [now](const loss& entry) {
+        return now - entry.at > (entry.confirmed ? quarantine_time : death_confirmation_time);
+    });
+}
+
+std::vector<wire::quarantine_notice_t> quarantine::all(time_point now) const {
+    std::vector<wire::quarantine_notice_t> notices;
+    for (const auto& [key, entry] : this->entries) {
+        if (now < entry.expires_at) {
+            notices.push_back(entry.notice);
+            notices.back().expires_in_ms = static_cast<std::uint32_t>((entry.expires_at - now).count());
+        }
+    }
+    return notices;
+}
+
+std::size_t quarantine::size(time_point now) const {
+    return this->all(now).size();
+}
+
+// Marks the losses of a failed region. A quarantine decided before the failure was recognized is withdrawn.
+std::vector<wire::quarantine_notice_t> quarantine::mark_region_failures(const std::string& region) {
+    std::set<fingerprint_key> changed;
+    for (std::size_t first = 0; first < this->losses.size(); ++first) {
+        auto together = [&, from = this->losses[first].at](const loss& entry) {
+            return entry.what.region == region && entry.at >= from && entry.at - from <= region_loss_time;
+        };
+        std::map<std::uint64_t, std::set<std::string>> by_fingerprint;
+        std::set<std::string> targets;
+        for (const auto& entry : this->losses) {
+            if (together(entry)) {
+                by_fingerprint[entry.what.fingerprint].insert(entry.what.target);
+                targets.insert(entry.what.target);
+            }
+        }
+        // One fingerprint that was on every lost target explains the losses without a failure of the region.
+        bool explained = std::any_of(by_fingerprint.begin(), by_fingerprint.end(),
+                                     [&](const auto& group) { return group.second.size() == targets.size(); });
+        if (explained || std::min(by_fingerprint.size(), targets.size()) < region_loss_fingerprints) {
+            continue;
+        }
+        for (auto& entry : this->losses) {
+            if (together(entry) && !entry.region_failed) {
+                entry.region_failed = true;
+                changed.insert({entry.what.service, entry.what.fingerprint});
+            }
+        }
+    }
+    std::vector<wire::quarantine_notice_t> notices;
+    for (const auto& key : changed) {
+        auto entry = this->entries.find(key);
+        if (entry != this->entries.end() && this->deaths(key).size() < quarantine_targets) {
+            notices.push_back(entry->second.notice);
+            notices.back().expires_in_ms = 0;
+            this->entries.erase(entry);
+        }
+    }
+    return notices;
+}
+
+// Reports new deaths of one fingerprint, and quarantines it after the second target.
+std::vector<wire::quarantine_notice_t> quarantine::evaluate(time_point now, const fingerprint_key& key) {
+    auto confirmed = this->deaths(key);
+    if (confirmed.empty()) {
+        return {};
+    }
+    if (confirmed.size() >= quarantine_targets) {
+        if (this->quarantined(now, key.first, key.second)) {
+            return {};
+        }
+        auto notice = notice_of(now, confirmed, quarantine_time);
+        this->entries[key] = {now + quarantine_time, notice};
+        return {notice};
+    }
+    if (confirmed.front()->remote) {
+        return {};
+    }
+    return {notice_of(now, confirmed, quarantine_time)};
+}
+
+// Confirmed deaths by distinct targets, without those that are part of a region's failure.
+std::vector<const quarantine::loss*> quarantine::deaths(const fingerprint_key& key) const {
+    std::vector<const loss*> found;
+    for (const auto& entry : this->losses) {
+        bool counts = entry.confirmed && !entry.region_failed && entry.what.service == key.first &&
+                      entry.what.fingerprint == key.second;
+        bool repeated = std::any_of(found.begin(), found.end(),
+                                    [&](const loss* other) { return other->what.target == entry.what.target; });
+        if (counts && !repeated) {
+            found.push_back(&entry);
+        }
+    }
+    return found;
+}
+
+wire::quarantine_notice_t quarantine::notice_of(time_point now, const std::vector<const loss*>& deaths,
+                                                duration expires_in) {
+    wire::quarantine_notice_t notice;
+    notice.service = deaths.front()->what.service;
+    notice.fingerprint = deaths.front()->what.fingerprint;
+    notice.expires_in_ms = static_cast<std::uint32_t>(expires_in.count());
+    for (const auto* entry : deaths) {
+        notice.targets.push_back(entry->what.target);
+        notice.regions.push_back(entry->what.region);
+        notice.lost_ms_ago.push_back(static_cast<std::uint32_t>(std::max<std::int64_t>(0, (now - entry->at).count())));
+    }
+    return notice;
+}
+
+}  // namespace persimmongrade
