Implement capacity leases and token buckets

Pongs name the incarnation they answer, so that an answer to an earlier process is never counted from a newer ping. Token buckets fill 1.1% slower than 95%: with a clock that runs 1% fast, 95% would admit more than the limit in a window of 1 s of another host's clock.

--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -65,14 +65,19 @@
     double
     limit(const resource& subject) const;  // `unlimited` for regions and links without limit; 0 for unknown services
     double floor(std::span<const std::string> edges, std::string_view edge, const resource& subject) const;
+    std::vector<double> floors(std::span<const std::string> edges, const resource& subject) const;  // as edges
     double burst(std::size_t edges, const resource& subject) const;  // burst fraction of a rate
     bool floors_outlive_configuration() const noexcept;              // a service has `without_control: floor`
     const std::map<resource, double>& rates() const noexcept { return this->rate_limits; }
 
+    bool same_limits(const limit_table& other) const;  // equal apart from the revision
+
 private:
     struct service_limits {
         double slots = unlimited;
         double connections = unlimited;
+
+        friend bool operator==(const service_limits&, const service_limits&) = default;
     };
 
     std::uint64_t revision_number = 0;
@@ -94,7 +99,7 @@
 struct lease_options {
     duration lease = ms(1000);
     duration configuration_lease = ms(2000);
-    duration concurrency_hold = ms(10000);  // longest time a dispatched request may occupy a slot: the largest deadline
+    duration concurrency_hold = ms(5000);  // longest time a dispatched request may occupy a slot: the largest deadline
 
     friend bool operator==(const lease_options&, const lease_options&) = default;
 };
@@ -128,64 +133,71 @@
         double amount = 0;
         std::uint64_t sequence = 0;  // of the ping that it answered
         time_point counted_until{};
+        bool orphaned = false;  // of an earlier incarnation, whose use nobody reports
     };
     struct account {  // one edge's share of one resource
         std::vector<grant> grants;
         double wanted = 0;
-        double used = 0;  // concurrency in use above the floor, as last reported
-        time_point used_counted_until{};
-        time_point wanted_at{};
+        double used = 0;                      // concurrency in use, floors included, as last reported
+        std::uint64_t reported_sequence = 0;  // of the ping that reported wanted and used
+    };
+    struct share_book {                 // all edges' accounts of one resource
+        std::vector<account> accounts;  // indexed as `edges`
+        std::vector<double> floors;     // counted floors
+        double floors_sum = 0;
+        std::uint64_t floors_version = 0;  // of `floors`
+        double level = 0;                  // no edge gets more than this above its floor when demand exceeds the limit
+        double spare_ratio = 0;            // extra grant per unit of need when demand is below the limit
+        std::optional<time_point> level_at;
     };
     struct sent_pong {
         std::uint64_t sequence = 0;
         time_point sent_at{};
     };
     struct edge_entry {
-        std::string id;
         std::uint64_t incarnation = 0;
         std::uint64_t last_sequence = 0;
         std::uint64_t acknowledged_revision = 0;
-        time_point configuration_until{};  // the edge may use floors of old revisions until then
-        bool heard = false;                // in this term
-        std::vector<sent_pong> pongs;
+        time_point last_ping_at{};
+        bool heard = false;            // in this term
+        bool use_known = false;        // it reported its use after every lease of earlier leaders had expired
+        std::vector<sent_pong> pongs;  // the newest few
     };
-    struct past_revision {
+    struct past_limits {  // limits of revisions that an edge may still use
         limit_table limits;
         time_point superseded_at{};
     };
-    struct share_book {                 // all edges' accounts of one resource
-        std::vector<account> accounts;  // indexed as `edges`
-        std::vector<double> floors;     // counted floors, refreshed when `floors_version` is old
-        std::uint64_t floors_version = 0;
-    };
 
     std::size_t index_of(std::string_view edge) const;
+    bool note_ping(std::size_t index, const wire::edge_ping_t& ping, time_point now);
+    void orphan_grants(std::size_t edge, time_point now);
+    std::optional<time_point> answer_seen(const edge_entry& edge, const wire::edge_ping_t& ping) const;
+    void drop_replaced_grants(std::size_t edge, const wire::edge_ping_t& ping);
     share_book& book(const resource& subject);
     void refresh_floors(const resource& subject, share_book& shares);
-    double counted_floor(std::size_t edge, const resource& subject) const;
-    double counted_above_floor(const account& entry, time_point now) const;
-    double decide(const resource& subject, std::size_t edge, time_point now);
-    bool concurrency_known(time_point now) const;
-    void note_ping(edge_entry& edge, const wire::edge_ping_t& ping, time_point now);
-    void record_demand(std::size_t edge, const wire::edge_ping_t& ping, const wire::resource_demand_t& demand,
-                       std::optional<time_point> seen_after, time_point now);
     void forget_past(time_point now);
-    time_point counted_until(time_point from, duration length) const;
+    bool past_counts(const past_limits& past, const edge_entry& edge, time_point now) const;
+    double above_floor(const resource& subject, const share_book& shares, std::size_t edge, time_point now) const;
+    double need(const resource& subject, const share_book& shares, std::size_t edge, time_point now) const;
+    void refresh_level(const resource& subject, share_book& shares, double divisible, time_point now) const;
+    double whole_units(const resource& subject, const share_book& shares, std::size_t edge, double divisible,
+                       time_point now) const;
+    double allocation(const resource& subject, share_book& shares, std::size_t edge, time_point now) const;
+    double grant_amount(const resource& subject, std::size_t edge, time_point now);
+    bool concurrency_known(time_point now) const;
 
     lease_options options;
     std::vector<std::string> edge_ids;
-    std::vector<edge_entry> edges;
+    std::vector<edge_entry> edges;  // indexed as `edge_ids`
     std::map<std::string, std::size_t, std::less<>> edge_index;
     std::map<resource, share_book> books;
     limit_table current;
-    std::vector<past_revision> past;  // revisions that an edge may still hold
+    std::vector<past_limits> past;  // oldest first
     std::uint64_t floors_version = 1;
     std::uint64_t term = 0;
     bool is_leader = false;
     bool any_revision = false;
-    time_point became_leader_at{};
     time_point no_grants_until{};
-    time_point history_known_at{};
 };
 
 // ---- Holder (edge) ----
@@ -222,7 +234,8 @@
     // Applies a configuration revision; older revisions are ignored. Leases of a resource whose limit fell are dropped
     // until a leader that knows the revision grants again.
     void apply(const wire::configuration_t& configuration, time_point now);
-    // Sets sequence, applied_revision, demands and answered_* of a ping that is sent now to all control processes.
+    // Sets sequence, applied_revision, demands and answered_* of a ping that is sent now to all control processes. The
+    // caller has set the incarnation.
     void prepare(wire::edge_ping_t& ping, time_point now);
     void receive(const wire::edge_pong_t& pong, time_point now);  // late and duplicate answers are harmless
 
@@ -235,13 +248,16 @@
     double usable(const resource& subject, time_point now, floor_use use = floor_use::with_configuration) const;
 
     // Reserves all claims or none, to be called at the moment of dispatch. Rates are taken from token buckets,
-    // concurrency is held until `complete`. A refused claim counts as demand for the next ping.
+    // concurrency is held until `complete`. A refused claim counts as demand for the next ping, unless `repeated` says
+    // that the same request was already refused and counted (a request waiting in a queue).
+    // Claims of one request on unlimited resources are always admitted.
     reservation_result reserve(std::span<const resource_claim> claims, time_point now,
-                               floor_use use = floor_use::with_configuration);
+                               floor_use use = floor_use::with_configuration, bool repeated = false);
     // Gives concurrency back, and corrects a link claim to the bytes really sent: an underestimate becomes a debt that
     // blocks until paid, an overestimate returns tokens. `actual` lists only the claims to correct.
     void complete(std::span<const resource_claim> held, time_point now, std::span<const resource_claim> actual = {});
-    // As `complete`, for a request that was not dispatched: tokens taken are returned as well.
+    // As `complete`, for a request that was not dispatched. Tokens are not returned: a window that begins after the
+    // reservation could otherwise carry more than the limit.
     void cancel(std::span<const resource_claim> held, time_point now);
 
     double in_use(const resource& subject) const;  // concurrency held now
@@ -249,38 +265,41 @@
 private:
     struct lease {
         double amount = 0;
-        std::uint64_t sequence = 0;
         std::uint64_t revision = 0;  // committed revision of the leader that granted it
         time_point expires_at{};
     };
     struct share {
         double floor = 0;
         double limit = 0;
+        std::uint64_t lowered_at_revision = 0;  // leases granted under older revisions are not used
         lease granted;
-        token_bucket bucket;         // rates only
-        double in_use = 0;           // concurrency only
-        double asked = 0;            // amount claimed since the last ping
-        double used = 0;             // amount admitted since the last ping
-        double largest_refused = 0;  // largest single claim refused since the last ping
-        double wanted = 0;           // smoothed demand, unit of the resource
+        token_bucket bucket;  // rates only
+        double in_use = 0;    // concurrency only
+        double asked = 0;     // rates: claimed since the last ping; concurrency: refused since the last ping
+        double used = 0;      // rates: admitted since the last ping; concurrency: highest use since the last ping
+        double largest_refused = 0;  // rates: largest claim above the size of the bucket since the last ping
+        double wanted = 0;           // demand as reported, unit of the resource
         time_point measured_at{};
-        time_point last_claimed_at{};
+        time_point claimed_at{};
     };
 
     share& share_of(const resource& subject, time_point now);
-    double rate_at(const share& entry, time_point now, floor_use use) const;
-    void advance(share& entry, time_point now);
-    double available(share& entry, const resource& subject, time_point now, floor_use use);
-    bool admissible(share& entry, const resource_claim& claim, time_point now, floor_use use, duration& wait);
-    void measure(share& entry, const resource& subject, time_point now);
-    static wire::refusal_reason reason_for(const resource& subject) noexcept;
+    void configure(const resource& subject, share& entry, time_point now);
+    static double lease_amount(const share& entry, time_point now) noexcept;
+    static void advance(share& entry, time_point now);
+    static bool take(share& entry, const resource_claim& claim, time_point now);
+    static void give_back(share& entry, const resource_claim& claim, time_point now);
+    static void note_claim(share& entry, const resource_claim& claim, bool taken, bool admitted, bool repeated);
+    void measure(share& entry, const resource& subject, time_point now) const;
+    void forget_idle(time_point now);
 
     std::string edge;
     std::vector<std::string> edges;
     lease_options options;
     limit_table limits;
     std::map<resource, share> shares;
-    std::map<std::uint64_t, time_point> sent;  // pings without answer, by sequence
+    std::map<std::uint64_t, time_point> sent;  // times of recent pings by sequence
+    std::uint64_t incarnation = 0;
     std::uint64_t next_sequence = 1;
     std::uint64_t answered_sequence = 0;
     std::uint64_t answered_term = 0;
--- a/include/persimmongrade/rate_limiter.h
+++ b/include/persimmongrade/rate_limiter.h
@@ -1,15 +1,16 @@
 // Rate limiting of one share of a limit. Pure: time is an argument.
 //
-// A share with rate r is filled at (1 - f) * r and holds at most f * r, where f is the burst fraction of the resource.
-// f is the same on every edge, therefore the sum over all edges in any window of 1 s is at most the sum of the rates,
-// also while rates move between edges. f is 0.05 (50 ms of the rate) unless the standing floor would then hold less
-// than one request, see `burst_fraction`.
+// A share with rate r is filled at (1 - f) * r, less 1.1% for clock rates, and holds at most f * r, where f is the
+// burst fraction of the resource. f is the same on every edge, therefore the sum over all edges in any window of 1 s is
+// at most the sum of the rates, also while rates move between edges. f is 0.05 (50 ms of the rate) unless the standing
+// floor would then hold less than one request, see `burst_fraction`.
 
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <vector>
 
 #include "persimmongrade/clock.h"
 
@@ -39,6 +40,8 @@
     duration wait(double amount) const noexcept;                // until `take(amount)` can succeed; max when never
 
 private:
+    double fill_rate() const noexcept;
+
     double fraction;
     double per_second = 0;
     double available = 0;
@@ -52,7 +55,8 @@
     explicit answer_size_estimator(std::uint64_t max_bytes, std::size_t window = 64);
 
     void observe(std::uint64_t bytes);
-    std::uint64_t estimate() const;  // 90th percentile of the recent sizes; the maximum until 8 were seen
+    std::uint64_t
+    estimate() const;  // 90th percentile of the recent sizes, at most the maximum; 16 KiB until 8 were seen
     std::uint64_t maximum() const noexcept { return this->max_bytes; }
 
 private:
--- /dev/null
+++ b/src/limits/lease_granter.cpp
@@ -0,0 +1,392 @@
+// Leader's side of capacity leases.
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "persimmongrade/capacity_lease.h"
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr std::size_t remembered_pongs = 16;   // 4 s at one ping per 250 ms
+constexpr std::size_t remembered_limits = 64;  // distinct limit sets kept for edges that may still use their floors
+constexpr double demand_headroom = 1.25;       // a share follows rising demand for one ping interval
+constexpr double spare_part_granted = 0.5;     // the other half is free for an edge whose demand begins
+constexpr duration level_age = ms(20);         // fairness, not safety, depends on the age of the level
+constexpr double unit_tolerance = 1e-9;        // of one slot
+
+}  // namespace
+
+lease_granter::lease_granter(std::vector<std::string> edges, lease_options options)
+    : options(options), edge_ids(std::move(edges)), edges(this->edge_ids.size()) {
+    for (std::size_t i = 0; i < this->edge_ids.size(); ++i) {
+        this->edge_index.emplace(this->edge_ids[i], i);
+    }
+}
+
+std::uint64_t lease_granter::revision() const noexcept {
+    return this->current.revision();
+}
+
+// ---- Revisions and terms ----
+
+void lease_granter::apply(const wire::configuration_t& configuration, time_point now, bool skipped) {
+    if (this->any_revision && configuration.revision <= this->current.revision()) {
+        return;
+    }
+    limit_table next(configuration);
+    if (!this->any_revision || skipped) {
+        // An edge may use floors of a revision that this process does not know while its configuration lease lasts.
+        this->no_grants_until = std::max(this->no_grants_until, granter_expiry(now, this->options.configuration_lease));
+    }
+    if (this->any_revision && !this->current.same_limits(next)) {
+        this->past.push_back({this->current, now});
+        if (this->past.size() > remembered_limits) {
+            this->past.erase(this->past.begin());
+        }
+        ++this->floors_version;
+    }
+    if (!this->any_revision) {
+        ++this->floors_version;
+    }
+    this->any_revision = true;
+    this->current = std::move(next);
+    this->forget_past(now);
+}
+
+void lease_granter::become_leader(std::uint64_t term, time_point now) {
+    this->term = term;
+    this->is_leader = true;
+    this->no_grants_until = std::max(this->no_grants_until, granter_expiry(now, this->options.lease));
+    this->books.clear();
+    std::fill(this->edges.begin(), this->edges.end(), edge_entry{});
+    ++this->floors_version;
+}
+
+void lease_granter::step_down() noexcept {
+    this->is_leader = false;
+}
+
+// ---- Floors of past revisions ----
+
+// Every configuration lease on these limits was granted before they were superseded here, by this leader or by an
+// earlier one, which committed the newer revision no later than this process applied it.
+bool lease_granter::past_counts(const past_limits& past, const edge_entry& edge, time_point now) const {
+    if (edge.acknowledged_revision > past.limits.revision()) {
+        return false;
+    }
+    return past.limits.floors_outlive_configuration() ||
+           now < granter_expiry(past.superseded_at, this->options.configuration_lease);
+}
+
+void lease_granter::forget_past(time_point now) {
+    auto unused = [&](const past_limits& entry) {
+        return std::none_of(this->edges.begin(), this->edges.end(),
+                            [&](const edge_entry& edge) { return this->past_counts(entry, edge, now); });
+    };
+    if (std::erase_if(this->past, unused) > 0) {
+        ++this->floors_version;
+    }
+}
+
+void lease_granter::refresh_floors(const resource& subject, share_book& shares) {
+    if (shares.floors_version == this->floors_version) {
+        return;
+    }
+    shares.floors = this->current.floors(this->edge_ids, subject);
+    for (const auto& past : this->past) {
+        if (past.limits.limit(subject) == unlimited) {
+            continue;  // nothing was limited then, and no finite floor describes it
+        }
+        std::vector<double> floors = past.limits.floors(this->edge_ids, subject);
+        for (std::size_t i = 0; i < floors.size(); ++i) {
+            if (this->edges[i].acknowledged_revision <= past.limits.revision()) {
+                shares.floors[i] = std::max(shares.floors[i], floors[i]);
+            }
+        }
+    }
+    shares.floors_sum = std::accumulate(shares.floors.begin(), shares.floors.end(), 0.0);
+    shares.floors_version = this->floors_version;
+}
+
+// ---- Answering ----
+
+std::size_t lease_granter::index_of(std::string_view edge) const {
+    auto position = this->edge_index.find(edge);
+    if (position == this->edge_index.end()) {
+        throw unknown_edge_error("edge \"" + std::string(edge) + "\" is not in the list of edges");
+    }
+    return position->second;
+}
+
+// False for a ping that is a duplicate, was overtaken, or comes from an earlier incarnation.
+bool lease_granter::note_ping(std::size_t index, const wire::edge_ping_t& ping, time_point now) {
+    edge_entry& edge = this->edges[index];
+    if (ping.incarnation < edge.incarnation) {
+        return false;
+    }
+    if (ping.incarnation > edge.incarnation) {
+        this->orphan_grants(index, now);
+        edge.incarnation = ping.incarnation;
+        edge.last_sequence = 0;
+        edge.acknowledged_revision = 0;
+        edge.pongs.clear();
+        ++this->floors_version;
+    }
+    if (ping.sequence <= edge.last_sequence) {
+        return false;
+    }
+    edge.last_sequence = ping.sequence;
+    edge.last_ping_at = now;
+    edge.heard = true;
+    if (ping.applied_revision > edge.acknowledged_revision) {
+        edge.acknowledged_revision = ping.applied_revision;
+        this->floors_version += this->past.empty() ? 0 : 1;
+    }
+    return true;
+}
+
+// What an incarnation that ended had in flight may still occupy slots, and no ping will report its end.
+void lease_granter::orphan_grants(std::size_t edge, time_point now) {
+    for (auto& [subject, shares] : this->books) {
+        account& entry = shares.accounts[edge];
+        for (auto& old : entry.grants) {
+            old.orphaned = true;
+        }
+        if (entry.used > 0 && !is_rate(subject)) {
+            entry.grants.push_back({std::max(0.0, entry.used - shares.floors[edge]), 0, now, true});
+        }
+        entry.used = 0;
+        entry.wanted = 0;
+        entry.reported_sequence = 0;
+    }
+}
+
+// When this leader sent the newest answer that the edge had applied before it sent this ping.
+std::optional<time_point> lease_granter::answer_seen(const edge_entry& edge, const wire::edge_ping_t& ping) const {
+    if (ping.answered_term != this->term) {
+        return std::nullopt;
+    }
+    for (const auto& pong : edge.pongs) {
+        if (pong.sequence == ping.answered_sequence) {
+            return pong.sent_at;
+        }
+    }
+    return std::nullopt;
+}
+
+// The edge has applied a newer answer, which replaced these grants, or had seen them expire; what it still has in
+// flight because of them is in the use that the same ping reports.
+void lease_granter::drop_replaced_grants(std::size_t edge, const wire::edge_ping_t& ping) {
+    edge_entry& entry = this->edges[edge];
+    std::optional<time_point> seen = this->answer_seen(entry, ping);
+    if (!seen) {
+        return;
+    }
+    entry.use_known = entry.use_known || *seen >= this->no_grants_until;
+    for (auto& [subject, shares] : this->books) {
+        std::erase_if(shares.accounts[edge].grants, [&](const grant& old) {
+            return !old.orphaned && (old.sequence < ping.answered_sequence || old.counted_until <= *seen);
+        });
+    }
+}
+
+wire::edge_pong_t lease_granter::answer(const wire::edge_ping_t& ping, time_point now) {
+    std::size_t index = this->index_of(ping.edge);
+    edge_entry& edge = this->edges[index];
+    wire::edge_pong_t pong;
+    pong.sequence = ping.sequence;
+    pong.incarnation = ping.incarnation;
+    pong.term = this->term;
+    pong.committed_revision = this->current.revision();
+    this->forget_past(now);
+    if (!this->is_leader || !this->note_ping(index, ping, now)) {
+        return pong;
+    }
+    this->drop_replaced_grants(index, ping);
+    for (const auto& demand : ping.demands) {
+        resource subject{demand->resource->kind, demand->resource->subject};
+        if (this->current.limit(subject) == unlimited) {
+            continue;
+        }
+        account& entry = this->book(subject).accounts[index];
+        entry.wanted = demand->wanted;
+        entry.used = demand->used;
+        entry.reported_sequence = ping.sequence;
+    }
+    edge.pongs.push_back({ping.sequence, now});
+    if (edge.pongs.size() > remembered_pongs) {
+        edge.pongs.erase(edge.pongs.begin());
+    }
+    if (ping.applied_revision != this->current.revision()) {
+        return pong;  // the edge does not know the committed configuration
+    }
+    pong.config_lease_ms = static_cast<std::uint32_t>(this->options.configuration_lease.count());
+    for (const auto& demand : ping.demands) {
+        resource subject{demand->resource->kind, demand->resource->subject};
+        double amount = this->grant_amount(subject, index, now);
+        if (amount <= 0) {
+            continue;
+        }
+        this->book(subject).accounts[index].grants.push_back(
+            {amount, ping.sequence, granter_expiry(now, this->options.lease)});
+        auto& sent = pong.grants.emplace_back(std::make_unique<wire::lease_grant_t>());
+        sent->resource = std::make_unique<wire::resource_id_t>(*demand->resource);
+        sent->amount = amount;
+        sent->duration_ms = static_cast<std::uint32_t>(this->options.lease.count());
+    }
+    return pong;
+}
+
+// ---- Amounts ----
+
+lease_granter::share_book& lease_granter::book(const resource& subject) {
+    share_book& shares = this->books[subject];
+    if (shares.accounts.empty()) {
+        shares.accounts.resize(this->edge_ids.size());
+    }
+    this->refresh_floors(subject, shares);
+    return shares;
+}
+
+// What an edge may use or occupy above its counted floor. A slot taken just before a lease expired stays occupied until
+// the edge reports otherwise, or until the longest request must have ended.
+double lease_granter::above_floor(const resource& subject, const share_book& shares, std::size_t edge,
+                                  time_point now) const {
+    const account& entry = shares.accounts[edge];
+    duration hold = is_rate(subject) ? ms(0) : this->options.concurrency_hold;
+    double result = 0;
+    for (const auto& granted : entry.grants) {
+        if (now < granted.counted_until + hold) {
+            result = std::max(result, granted.amount);
+        }
+    }
+    const edge_entry& state = this->edges[edge];
+    bool reported = state.heard && entry.reported_sequence == state.last_sequence && now < state.last_ping_at + hold;
+    if (reported) {
+        result = std::max(result, entry.used - shares.floors[edge]);
+    }
+    return result;
+}
+
+// Demand of an edge above its floor; 0 for an edge that has not pinged for one lease.
+double lease_granter::need(const resource& subject, const share_book& shares, std::size_t edge, time_point now) const {
+    const account& entry = shares.accounts[edge];
+    const edge_entry& state = this->edges[edge];
+    if (!state.heard || entry.reported_sequence != state.last_sequence ||
+        now >= state.last_ping_at + this->options.lease) {
+        return 0;
+    }
+    if (!is_rate(subject)) {
+        return std::max(0.0, std::ceil(entry.wanted) - shares.floors[edge]);
+    }
+    double fill = 1 - this->current.burst(this->edge_ids.size(), subject);
+    return std::max(0.0, entry.wanted * demand_headroom / fill - shares.floors[edge]);
+}
+
+// Divides the amount above the floors so that small demands are met and the others get equal shares (max-min).
+void lease_granter::refresh_level(const resource& subject, share_book& shares, double divisible, time_point now) const {
+    if (shares.level_at && now >= *shares.level_at && now < *shares.level_at + level_age) {
+        return;
+    }
+    std::vector<double> needs;
+    for (std::size_t i = 0; i < shares.accounts.size(); ++i) {
+        needs.push_back(this->need(subject, shares, i, now));
+    }
+    std::sort(needs.begin(), needs.end());
+    double total = std::accumulate(needs.begin(), needs.end(), 0.0);
+    shares.level = unlimited;
+    shares.spare_ratio = total > 0 ? std::max(0.0, (divisible - total) * spare_part_granted / total) : 0;
+    double left = divisible;
+    for (std::size_t i = 0; total > divisible && i < needs.size(); ++i) {
+        double equal = left / static_cast<double>(needs.size() - i);
+        if (needs[i] > equal) {
+            shares.level = std::max(0.0, equal);
+            break;
+        }
+        left -= needs[i];
+    }
+    shares.level_at = now;
+}
+
+// Whole slots: one at a time to each edge that needs more, in an order of its own for each resource; what no edge needs
+// goes to the edges with demand in the same way.
+double lease_granter::whole_units(const resource& subject, const share_book& shares, std::size_t edge, double divisible,
+                                  time_point now) const {
+    std::size_t count = shares.accounts.size();
+    std::vector<double> needs(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        needs[i] = this->need(subject, shares, i, now);
+    }
+    std::vector<double> given(count, 0.0);
+    std::size_t first = XXH64(subject.subject.data(), subject.subject.size(), 1) % count;
+    auto left = static_cast<std::int64_t>(std::floor(divisible + unit_tolerance));
+    for (bool spare : {false, true}) {
+        for (bool progress = true; progress && left > 0;) {
+            progress = false;
+            for (std::size_t k = 0; k < count && left > 0; ++k) {
+                std::size_t i = (first + k) % count;
+                if (needs[i] > 0 && (spare || given[i] < needs[i])) {
+                    given[i] += 1;
+                    --left;
+                    progress = true;
+                }
+            }
+        }
+    }
+    return given[edge];
+}
+
+double lease_granter::allocation(const resource& subject, share_book& shares, std::size_t edge, time_point now) const {
+    double divisible = this->current.limit(subject) - shares.floors_sum;
+    if (!is_rate(subject)) {
+        return this->whole_units(subject, shares, edge, divisible, now);
+    }
+    this->refresh_level(subject, shares, divisible, now);
+    double need = this->need(subject, shares, edge, now);
+    return std::min(shares.level, need * (1 + shares.spare_ratio));
+}
+
+double lease_granter::grant_amount(const resource& subject, std::size_t edge, time_point now) {
+    double limit = this->current.limit(subject);
+    if (limit == unlimited || now < this->no_grants_until) {
+        return 0;
+    }
+    if (!is_rate(subject) && !this->concurrency_known(now)) {
+        return 0;
+    }
+    share_book& shares = this->book(subject);
+    for (auto& entry : shares.accounts) {
+        duration hold = is_rate(subject) ? ms(0) : this->options.concurrency_hold;
+        std::erase_if(entry.grants, [&](const grant& old) { return now >= old.counted_until + hold; });
+    }
+    double room = limit - shares.floors_sum;
+    for (std::size_t i = 0; i < shares.accounts.size(); ++i) {
+        room -= i == edge ? 0 : this->above_floor(subject, shares, i, now);
+    }
+    double amount = std::min(this->allocation(subject, shares, edge, now), room);
+    return is_rate(subject) ? amount : std::floor(amount + unit_tolerance);
+}
+
+// Slots taken under an earlier leader are known once every edge has reported its use after all those leases expired.
+bool lease_granter::concurrency_known(time_point now) const {
+    if (now >= this->no_grants_until + this->options.concurrency_hold) {
+        return true;
+    }
+    return std::all_of(this->edges.begin(), this->edges.end(), [](const edge_entry& edge) { return edge.use_known; });
+}
+
+double lease_granter::counted(const resource& subject, time_point now) {
+    share_book& shares = this->book(subject);
+    double result = shares.floors_sum;
+    for (std::size_t i = 0; i < shares.accounts.size(); ++i) {
+        result += this->above_floor(subject, shares, i, now);
+    }
+    return result;
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/limits/lease_holder.cpp
@@ -0,0 +1,301 @@
+// Edge's side of capacity leases.
+
+#include <algorithm>
+#include <cmath>
+
+#include "persimmongrade/capacity_lease.h"
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr duration sent_kept = ms(5000);         // an answer to an older ping carries nothing that is still valid
+constexpr duration idle_share_kept = ms(60000);  // targets that left
+constexpr double demand_decay = 0.3;             // per ping; demand that ended is below 1% after four pings (1 s)
+constexpr double negligible_demand = 0.01;       // of the floor
+constexpr double size_margin = 1.01;             // a bucket for one large claim is asked slightly larger than the claim
+constexpr duration concurrency_retry = ms(20);   // hint; when a slot becomes free is not known
+
+wire::refusal_reason reason_for(const resource& subject) {
+    switch (subject.kind) {
+    case wire::resource_kind::region:
+        return wire::refusal_reason::region_limit;
+    case wire::resource_kind::link:
+        return wire::refusal_reason::link_limit;
+    case wire::resource_kind::slots:
+        return wire::refusal_reason::slots_exhausted;
+    case wire::resource_kind::connections:
+        break;
+    }
+    return wire::refusal_reason::connections_exhausted;
+}
+
+}  // namespace
+
+lease_holder::lease_holder(std::string edge, std::vector<std::string> edges, lease_options options)
+    : edge(std::move(edge)), edges(std::move(edges)), options(options) {}
+
+// ---- Configuration ----
+
+void lease_holder::configure(const resource& subject, share& entry, time_point now) {
+    entry.limit = this->limits.limit(subject);
+    entry.floor = this->limits.floor(this->edges, this->edge, subject);
+    if (is_rate(subject) && entry.limit != unlimited) {
+        entry.bucket.set_burst_fraction(this->limits.burst(this->edges.size(), subject), now);
+        entry.bucket.set_rate(entry.floor + lease_amount(entry, now), now);
+    }
+}
+
+lease_holder::share& lease_holder::share_of(const resource& subject, time_point now) {
+    auto [position, inserted] = this->shares.try_emplace(subject);
+    if (inserted) {
+        position->second.measured_at = now;
+        position->second.claimed_at = now;
+        this->configure(subject, position->second, now);
+    }
+    return position->second;
+}
+
+void lease_holder::apply(const wire::configuration_t& configuration, time_point now) {
+    if (configuration.revision <= this->limits.revision()) {
+        return;
+    }
+    this->limits = limit_table(configuration);
+    for (const auto& [subject, limit] : this->limits.rates()) {
+        this->share_of(subject, now);
+    }
+    for (auto& [subject, entry] : this->shares) {
+        advance(entry, now);
+        if (this->limits.limit(subject) < entry.limit) {
+            entry.lowered_at_revision = configuration.revision;
+            entry.granted = lease{};
+        }
+        this->configure(subject, entry, now);
+    }
+}
+
+// ---- Pings ----
+
+void lease_holder::measure(share& entry, const resource& subject, time_point now) const {
+    double demand = 0;
+    if (is_rate(subject)) {
+        double seconds = std::max(0.001, std::chrono::duration<double>(now - entry.measured_at).count());
+        demand = entry.asked / seconds;
+        entry.used /= seconds;
+        double fraction = this->limits.burst(this->edges.size(), subject);
+        demand = std::max(demand, entry.largest_refused * size_margin / fraction);
+    } else {
+        demand = std::max(entry.used, entry.in_use) + entry.asked;
+    }
+    entry.wanted = std::min(entry.limit, std::max(demand, entry.wanted * demand_decay));
+    if (demand == 0 && entry.wanted < std::max(entry.floor, 1.0) * negligible_demand) {
+        entry.wanted = 0;
+    }
+}
+
+void lease_holder::forget_idle(time_point now) {
+    std::erase_if(this->shares, [&](const auto& item) {
+        return !is_rate(item.first) && item.second.in_use == 0 && now >= item.second.claimed_at + idle_share_kept;
+    });
+    std::erase_if(this->sent, [&](const auto& item) { return now >= item.second + sent_kept; });
+}
+
+void lease_holder::prepare(wire::edge_ping_t& ping, time_point now) {
+    this->forget_idle(now);
+    this->incarnation = ping.incarnation;
+    ping.edge = this->edge;
+    ping.sequence = this->next_sequence++;
+    ping.applied_revision = this->limits.revision();
+    ping.answered_sequence = this->answered_sequence;
+    ping.answered_term = this->answered_term;
+    ping.demands.clear();
+    for (auto& [subject, entry] : this->shares) {
+        if (entry.limit == unlimited) {
+            continue;
+        }
+        this->measure(entry, subject, now);
+        if (entry.wanted > 0 || entry.in_use > 0) {
+            auto& demand = ping.demands.emplace_back(std::make_unique<wire::resource_demand_t>());
+            demand->resource = std::make_unique<wire::resource_id_t>();
+            demand->resource->kind = subject.kind;
+            demand->resource->subject = subject.subject;
+            demand->wanted = entry.wanted;
+            demand->used = is_rate(subject) ? entry.used : entry.in_use;
+        }
+        entry.asked = 0;
+        entry.used = entry.in_use;
+        entry.largest_refused = 0;
+        entry.measured_at = now;
+    }
+    this->sent[ping.sequence] = now;
+}
+
+void lease_holder::receive(const wire::edge_pong_t& pong, time_point now) {
+    auto position = this->sent.find(pong.sequence);
+    if (position == this->sent.end() || pong.incarnation != this->incarnation) {
+        return;
+    }
+    time_point sent_at = position->second;
+    this->committed = std::max(this->committed, pong.committed_revision);
+    if (pong.config_lease_ms > 0 && pong.committed_revision <= this->limits.revision()) {
+        duration length = std::min(ms(pong.config_lease_ms), this->options.configuration_lease);
+        this->configuration_until = std::max(this->configuration_until, holder_expiry(sent_at, length));
+    }
+    if (pong.term < this->answered_term ||
+        (pong.term == this->answered_term && pong.sequence <= this->answered_sequence)) {
+        return;
+    }
+    this->answered_term = pong.term;
+    this->answered_sequence = pong.sequence;
+    std::map<resource, const wire::lease_grant_t*> granted;
+    for (const auto& grant : pong.grants) {
+        granted[{grant->resource->kind, grant->resource->subject}] = grant.get();
+    }
+    for (auto& [subject, entry] : this->shares) {
+        advance(entry, now);
+        entry.granted = lease{};  // an answer replaces all earlier leases
+        auto grant = granted.find(subject);
+        if (grant != granted.end() && pong.committed_revision >= entry.lowered_at_revision) {
+            duration length = std::min(ms(grant->second->duration_ms), this->options.lease);
+            entry.granted = {grant->second->amount, pong.committed_revision, holder_expiry(sent_at, length)};
+        }
+        if (is_rate(subject) && entry.limit != unlimited) {
+            entry.bucket.set_rate(entry.floor + lease_amount(entry, now), now);
+        }
+    }
+}
+
+// ---- Use ----
+
+bool lease_holder::configuration_valid(time_point now) const noexcept {
+    return now < this->configuration_until;
+}
+
+double lease_holder::lease_amount(const share& entry, time_point now) noexcept {
+    return now < entry.granted.expires_at ? entry.granted.amount : 0;
+}
+
+double lease_holder::usable(const resource& subject, time_point now, floor_use use) const {
+    bool valid = this->configuration_valid(now);
+    if (!valid && use == floor_use::with_configuration) {
+        return 0;
+    }
+    auto position = this->shares.find(subject);
+    if (position == this->shares.end()) {
+        return this->limits.floor(this->edges, this->edge, subject);
+    }
+    return position->second.floor + (valid ? lease_amount(position->second, now) : 0);
+}
+
+// Fills the bucket at the leased rate until the lease expired and at the floor's rate from then on.
+void lease_holder::advance(share& entry, time_point now) {
+    if (entry.limit == unlimited) {
+        return;
+    }
+    if (entry.granted.amount > 0 && entry.granted.expires_at <= now) {
+        entry.bucket.set_rate(entry.floor, entry.granted.expires_at);
+        entry.granted = lease{};
+    }
+    entry.bucket.advance(now);
+}
+
+bool lease_holder::take(share& entry, const resource_claim& claim, time_point now) {
+    advance(entry, now);
+    if (entry.limit == unlimited) {
+        return true;
+    }
+    if (is_rate(claim.subject)) {
+        return entry.bucket.take(claim.amount, now);
+    }
+    if (entry.in_use + claim.amount > entry.floor + lease_amount(entry, now)) {
+        return false;
+    }
+    entry.in_use += claim.amount;
+    return true;
+}
+
+void lease_holder::give_back(share& entry, const resource_claim& claim, time_point now) {
+    if (entry.limit != unlimited && is_rate(claim.subject)) {
+        entry.bucket.correct(-claim.amount, now);
+    }
+    if (!is_rate(claim.subject)) {
+        entry.in_use = std::max(0.0, entry.in_use - claim.amount);
+    }
+}
+
+// Demand counts on every claimed resource, also when another one refused the request; `taken` is the answer of this
+// one.
+void lease_holder::note_claim(share& entry, const resource_claim& claim, bool taken, bool admitted, bool repeated) {
+    if (!is_rate(claim.subject)) {
+        entry.used = std::max(entry.used, entry.in_use);
+        entry.asked += taken || repeated ? 0 : claim.amount;
+        return;
+    }
+    entry.asked += repeated ? 0 : claim.amount;
+    entry.used += admitted ? claim.amount : 0;
+    if (!taken && claim.amount > entry.bucket.size()) {
+        entry.largest_refused = std::max(entry.largest_refused, claim.amount);
+    }
+}
+
+reservation_result lease_holder::reserve(std::span<const resource_claim> claims, time_point now, floor_use use,
+                                         bool repeated) {
+    reservation_result result;
+    if (!this->configuration_valid(now) && use == floor_use::with_configuration) {
+        result.refused = wire::refusal_reason::configuration_lease_expired;
+        return result;
+    }
+    for (const auto& claim : claims) {
+        share& entry = this->share_of(claim.subject, now);
+        entry.claimed_at = now;
+        if (!result) {
+            continue;
+        }
+        if (take(entry, claim, now)) {
+            result.held.push_back(claim);
+            continue;
+        }
+        result.refused = reason_for(claim.subject);
+        result.refused_by = claim.subject;
+        result.retry_after =
+            std::min(is_rate(claim.subject) ? entry.bucket.wait(claim.amount) : concurrency_retry, this->options.lease);
+    }
+    for (const auto& claim : claims) {
+        bool taken = result.refused_by != claim.subject;
+        note_claim(this->share_of(claim.subject, now), claim, taken, static_cast<bool>(result), repeated);
+    }
+    if (!result) {
+        for (const auto& claim : result.held) {
+            give_back(this->share_of(claim.subject, now), claim, now);
+        }
+        result.held.clear();
+    }
+    return result;
+}
+
+void lease_holder::complete(std::span<const resource_claim> held, time_point now,
+                            std::span<const resource_claim> actual) {
+    for (const auto& claim : held) {
+        share& entry = this->share_of(claim.subject, now);
+        if (!is_rate(claim.subject)) {
+            give_back(entry, claim, now);
+        }
+        for (const auto& sent : actual) {
+            if (sent.subject == claim.subject && is_rate(claim.subject) && entry.limit != unlimited) {
+                advance(entry, now);
+                entry.bucket.correct(sent.amount - claim.amount, now);
+            }
+        }
+    }
+}
+
+void lease_holder::cancel(std::span<const resource_claim> held, time_point now) {
+    this->complete(held, now);
+}
+
+double lease_holder::in_use(const resource& subject) const {
+    auto position = this->shares.find(subject);
+    return position == this->shares.end() ? 0 : position->second.in_use;
+}
+
+}  // namespace persimmongrade
