Bind the control daemon to the consensus core and its storage

The single-voter stand-in is replaced. A process whose data directory is new gets its own member id, asks the other control processes by POST /v1/members to be added, and the leader lets it replace the member at its address once it has caught up. Edges and operators keep seeing the name from the settings.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -2,19 +2,22 @@
 
 #include <deque>
 #include <map>
+#include <random>
 #include <utility>
 
+#include "consensus_driver.h"
 #include "operator_api.h"
 #include "persimmongrade/distribution.h"
+#include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
 #include "persimmongrade/log.h"
 #include "persimmongrade/metrics.h"
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/record_parser.h"
 #include "persimmongrade/record_store.h"
-#include "single_voter.h"
 
 // Index
+//   Start         - options, membership, joining a running cluster
 //   Submissions   - from an HTTP request through the log to its answer
 //   Log events    - committed entries, installed snapshots, changes of leadership
 //   Edges         - pings, acknowledgements, pushes
@@ -31,11 +34,13 @@
 constexpr duration watch_timeout = ms(25000);      // a watch without changes is answered after this
 constexpr std::size_t max_pending_submissions = 10000;
 constexpr std::size_t max_watches = 1000;
+constexpr duration join_interval = ms(500);          // between requests to be added, to one process after the other
+constexpr std::size_t max_command_bytes = 8u << 20;  // must fit one peer frame with room to spare
 
 using exchange_pointer = std::shared_ptr<http_exchange>;
 
 struct submission {
-    std::vector<std::uint8_t> payload;
+    byte_string payload;
     exchange_pointer exchange;  // null for the leader's own commands
     time_point received_at{};
 };
@@ -82,9 +87,12 @@
     metric_registry metrics;
     record_store store;
     distribution distributor;
-    single_voter<impl> log;
+    consensus_driver<impl> log;
     peer_transport peers;
     http_server http;
+    http_client client;                            // requests to be added to the voters
+    std::map<std::string, std::string> connected;  // address by member id
+    std::size_t next_to_ask = 0;
     std::deque<submission> queue;                     // accepted from HTTP, not yet proposed
     std::map<std::uint64_t, pending_entry> proposed;  // by log index
     std::vector<watch> watches;
@@ -96,22 +104,170 @@
     prometheus::Gauge& leader_gauge;
     prometheus::Gauge& term_gauge;
 
-    impl(event_loop& loop, wire::control_settings_t given)
+    impl(event_loop& loop, wire::control_settings_t given, const control_options& options)
         : loop(loop), settings(std::move(given)), distributor({}, edge_ids(this->settings), this->store),
-          log(*this, this->settings.id),
+          log(*this, log_options(this->settings), data_options(this->settings, options), loop.now()),
           peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
                 this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
           http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_record_bytes},
                [this](http_request request, exchange_pointer exchange) {
                    this->handle(std::move(request), std::move(exchange));
                }),
+          client(loop),
           submissions(this->metrics.counter("persimmongrade_submissions_total", "Submissions put into the log.")),
           refusals(this->metrics.counter("persimmongrade_operator_refusals_total", "Refused operator requests.")),
           revision_gauge(this->metrics.gauge("persimmongrade_revision", "Revision of the applied configuration.")),
           leader_gauge(this->metrics.gauge("persimmongrade_leader", "1 while this process serves as leader.")),
           term_gauge(this->metrics.gauge("persimmongrade_term", "Consensus term.")) {
+        this->log.start();
         loop.every(consensus_tick, [this] { this->log.tick(this->loop.now()); });
         loop.every(distribution_tick, [this] { this->distribute(); });
+        loop.every(join_interval, [this] { this->ask_to_join(); });
+    }
+
+    // ---- Start ----
+
+    static consensus_options log_options(const wire::control_settings_t& settings) {
+        consensus_options options;
+        options.election_timeout = ms(settings.election_timeout_ms);
+        options.heartbeat_interval = ms(settings.heartbeat_ms);
+        options.snapshot_threshold = settings.snapshot_entries;
+        return options;
+    }
+
+    static storage_options data_options(const wire::control_settings_t& settings, const control_options& options) {
+        storage_options storage;
+        storage.directory = settings.data_directory;
+        storage.name = settings.id;
+        std::random_device random;
+        storage.identity_seed = (static_cast<std::uint64_t>(random()) << 32u) | random();
+        if (options.bootstrap) {
+            storage.bootstrap.emplace();
+            for (const auto& peer : settings.control) {
+                auto voter = std::make_unique<wire::voter_t>();
+                voter->id = peer->id;
+                voter->address = peer->address;
+                storage.bootstrap->voters.push_back(std::move(voter));
+            }
+        }
+        return storage;
+    }
+
+    duration delay_to(const std::string& region) const {
+        for (const auto& latency : this->settings.simulated_latency) {
+            if (latency->to_region == region) {
+                return ms(latency->one_way_ms);
+            }
+        }
+        return duration::zero();
+    }
+
+    const wire::peer_settings_t* control_at(const std::string& peer_address) const {
+        for (const auto& peer : this->settings.control) {
+            if (peer->address == peer_address) {
+                return peer.get();
+            }
+        }
+        return nullptr;
+    }
+
+    const wire::voter_t* member(const std::string& id) const {
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->id == id) {
+                return voter.get();
+            }
+        }
+        return nullptr;
+    }
+
+    // The name that edges and operators know a member by. The id of a member whose disk was lost differs from it.
+    std::string name_of(const std::string& id) const {
+        const wire::voter_t* found = this->member(id);
+        const wire::peer_settings_t* peer = found == nullptr ? nullptr : this->control_at(found->address);
+        return peer == nullptr ? id : peer->id;
+    }
+
+    // Connects to the members, except to one that another member at the same address replaces: messages to it would
+    // reach its replacement.
+    void members_changed() {
+        std::map<std::string, std::string> wanted;
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->id != this->log.id()) {
+                wanted[voter->id] = voter->address;
+            }
+        }
+        for (const auto& voter : this->log.voters().voters) {
+            wanted.erase(voter->replaces);
+        }
+        for (const auto& [id, address] : this->connected) {
+            if (!wanted.contains(id)) {
+                this->peers.remove_peer(id);
+            }
+        }
+        for (const auto& [id, address] : wanted) {
+            if (!this->connected.contains(id)) {
+                const wire::peer_settings_t* peer = this->control_at(address);
+                this->peers.add_peer(id, ip_address::parse(address),
+                                     peer == nullptr ? duration::zero() : this->delay_to(peer->region));
+            }
+        }
+        this->connected = std::move(wanted);
+        log_info("members changed", field("members", this->log.voters().voters.size()));
+    }
+
+    // A process that is no member (its disk is new) asks the others in turn to be added. Only the leader answers.
+    void ask_to_join() {
+        if (this->log.is_member() || this->is_stopping || this->log.failed()) {
+            return;
+        }
+        const auto& peer = *this->settings.control[this->next_to_ask++ % this->settings.control.size()];
+        if (peer.id == this->settings.id) {
+            return;
+        }
+        nlohmann::json body = {
+            {"id", this->log.id()}, {"name", this->settings.id}, {"address", this->settings.peer_address}};
+        http_call call{ip_address::parse(this->http_address_of(peer.id)), "POST", "/v1/members", {}, body.dump()};
+        call.reuse_connection = false;
+        log_info("asking to be added to the voters", field("peer", peer.id), field("id", this->log.id()));
+        auto finished = std::make_shared<bool>(false);
+        call_id id = this->client.send(std::move(call), [finished](const http_call_result&) { *finished = true; });
+        this->loop.after(join_interval, [this, id, finished] {
+            if (!*finished) {
+                this->client.cancel(id);
+            }
+        });
+    }
+
+    // Adds a member that is at first non-voting; consensus promotes it once it has caught up, and then removes the
+    // member of the same name.
+    void post_member(const http_request& request, const exchange_pointer& exchange) {
+        auto asked = parse_member(request.body);
+        bool valid =
+            asked && this->control_at(asked->address) != nullptr && this->control_at(asked->address)->id == asked->name;
+        if (!valid) {
+            this->refuse(exchange, operator_error::bad_request, "the body must name a control process of the settings");
+            return;
+        }
+        membership_change change;
+        change.member.id = asked->id;
+        change.member.address = asked->address;
+        change.member.voting = false;
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->id == asked->id) {
+                exchange->respond(json_answer(200, {{"status", "member"}}));
+                return;
+            }
+            if (voter->address == asked->address) {
+                change.member.replaces = voter->id;
+            }
+        }
+        try {
+            this->log.change_voters(this->loop.now(), change);
+            log_info("member added", field("id", asked->id), field("replaces", change.member.replaces));
+            exchange->respond(json_answer(202, {{"status", "adding"}}));
+        } catch (const error& failure) {  // not_leader_error, membership_busy_error, membership_error
+            this->refuse(exchange, operator_error::unavailable, failure.what());
+        }
     }
 
     // ---- Submissions ----
@@ -123,7 +279,12 @@
         }
         wire::command_t command;
         command.body = std::move(body);
-        this->queue.push_back({encode_command(command), std::move(exchange), this->loop.now()});
+        byte_string payload = encode_command(command);
+        if (payload.size() > max_command_bytes) {
+            this->refuse(exchange, operator_error::bad_request, "the record is too large for one log entry");
+            return;
+        }
+        this->queue.push_back({std::move(payload), std::move(exchange), this->loop.now()});
         if (!std::exchange(this->flush_scheduled, true)) {
             // Requests that arrive in the same turn of the loop share one append and one sync.
             this->loop.after(duration::zero(), [this] { this->flush(); });
@@ -139,16 +300,22 @@
             }
             return;
         }
-        std::vector<std::vector<std::uint8_t>> payloads;
+        std::vector<byte_string> payloads;
         for (submission& request : batch) {
             payloads.push_back(std::move(request.payload));
         }
         this->submissions.Increment(static_cast<double>(batch.size()));
-        this->log.propose(this->loop.now(), std::move(payloads), [&](std::uint64_t index, std::uint64_t term) {
+        try {
+            this->log.propose(this->loop.now(), std::move(payloads), [&](std::uint64_t index, std::uint64_t term) {
+                for (submission& request : batch) {
+                    this->proposed[index++] = {term, std::move(request)};
+                }
+            });
+        } catch (const not_leader_error&) {  // handing over the leadership
             for (submission& request : batch) {
-                this->proposed[index++] = {term, std::move(request)};
+                this->refuse_not_leader(request.exchange);
             }
-        });
+        }
     }
 
     // A submission that was proposed may be committed by the next leader, so its outcome is unknown.
@@ -192,9 +359,19 @@
         this->answer_watches();
     }
 
-    void install_state(const std::vector<std::uint8_t>& bytes) { this->store = record_store::restore(bytes); }
+    void send(const std::string& to, wire::messageUnion body) { this->peers.send_message(to, std::move(body)); }
+
+    void install_state(const byte_string& bytes) { this->store = record_store::restore(bytes); }
 
-    void leadership_lost() {
+    byte_string save_state() const { return this->store.snapshot(); }
+
+    void leadership_changed(leadership_change change) {
+        log_info("leadership changed", field("leading", change == leadership_change::gained),
+                 field("term", this->log.term()));
+        this->refresh_authority();
+        if (change == leadership_change::gained) {
+            return;
+        }
         auto lost = std::exchange(this->proposed, {});
         for (auto& [index, entry] : lost) {
             this->answer_unknown(entry.request, "the leader changed");
@@ -210,7 +387,8 @@
     bool refresh_authority() {
         time_point now = this->loop.now();
         bool serving = this->log.can_serve_reads(now);
-        this->distributor.set_authority(now, unix_time_ms(), {serving, this->log.leader_id(), this->log.term()});
+        this->distributor.set_authority(now, unix_time_ms(),
+                                        {serving, this->name_of(this->log.leader_id()), this->log.term()});
         this->leader_gauge.Set(serving ? 1 : 0);
         this->term_gauge.Set(static_cast<double>(this->log.term()));
         return serving;
@@ -274,7 +452,7 @@
             return;
         }
         this->refusals.Increment();
-        std::string leader = this->log.leader_id();
+        std::string leader = this->name_of(this->log.leader_id());
         std::string address = this->http_address_of(leader);
         if (this->log.is_leader() || address.empty()) {
             exchange->respond(error_response(operator_error::unavailable, "no leader has a majority now"));
@@ -290,7 +468,7 @@
         if (request.path == "/healthz") {
             exchange->respond({200, {}, "ok\n"});
         } else if (request.path == "/readyz") {
-            bool ready = !this->log.leader_id().empty() && !this->is_stopping;
+            bool ready = !this->log.leader_id().empty() && !this->is_stopping && !this->log.failed();
             exchange->respond({ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n"});
         } else if (request.path == "/metrics") {
             exchange->respond({200, {{"content-type", "text/plain; version=0.0.4"}}, this->metrics.text()});
@@ -317,6 +495,8 @@
             this->post_drain(request, exchange);
         } else if (starts_with(request.path, "/v1/drains/", rest) && request.method == "DELETE") {
             this->delete_drain(rest, request, exchange);
+        } else if (request.path == "/v1/members" && request.method == "POST") {
+            this->post_member(request, exchange);
         } else if (request.path == "/v1/status" && request.method == "GET") {
             this->get_status(request, exchange);
         } else if (request.path == "/v1/watch" && request.method == "GET") {
@@ -331,7 +511,8 @@
     static bool is_known_path(const std::string& path) {
         std::string rest;
         return path == "/v1/records" || path == "/v1/drains" || path == "/v1/status" || path == "/v1/watch" ||
-               starts_with(path, "/v1/records/", rest) || starts_with(path, "/v1/drains/", rest);
+               path == "/v1/members" || starts_with(path, "/v1/records/", rest) ||
+               starts_with(path, "/v1/drains/", rest);
     }
 
     // The submission id of a request, or nothing after refusing it.
@@ -458,8 +639,13 @@
         for (const auto& assignment : this->store.configuration().assignments) {
             assignments.push_back(to_json(*assignment));
         }
+        nlohmann::json members = nlohmann::json::array();
+        for (const auto& voter : this->log.voters().voters) {
+            members.push_back({{"id", voter->id}, {"address", voter->address}, {"voting", voter->voting}});
+        }
         bool in_force = missing.empty() && revision <= this->store.revision();
-        exchange->respond(json_answer(200, {{"leader", this->log.leader_id()},
+        exchange->respond(json_answer(200, {{"leader", this->name_of(this->log.leader_id())},
+                                            {"members", members},
                                             {"term", this->log.term()},
                                             {"revision", this->store.revision()},
                                             {"asked_revision", revision},
@@ -513,10 +699,15 @@
         }
         log_info("planned stop", field("leader", this->log.is_leader()));
         this->http.close_listener();
-        this->log.transfer_leadership(this->loop.now());
+        try {
+            this->log.transfer_leadership(this->loop.now());
+        } catch (const error& reason) {  // not_leader_error or transfer_error: there is nothing to hand over
+            log_info("leadership not transferred", field("reason", reason.what()));
+        }
         time_point latest = this->loop.now() + ms(this->settings.stop_timeout_ms);
         this->loop.every(consensus_tick, [this, latest] {
-            bool done = this->proposed.empty() && this->queue.empty();
+            bool alone = this->log.voters().voters.size() <= 1;
+            bool done = this->proposed.empty() && this->queue.empty() && (alone || !this->log.is_leader());
             if (done || this->loop.now() >= latest) {
                 this->loop.stop();
             }
@@ -524,8 +715,8 @@
     }
 };
 
-control_server::control_server(event_loop& loop, wire::control_settings_t settings, control_options)
-    : state(std::make_unique<impl>(loop, std::move(settings))) {}
+control_server::control_server(event_loop& loop, wire::control_settings_t settings, control_options options)
+    : state(std::make_unique<impl>(loop, std::move(settings), options)) {}
 
 control_server::~control_server() = default;
 
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -192,6 +192,19 @@
     return parsed["target"].get<std::string>();
 }
 
+std::optional<member_request> parse_member(const std::string& body) {
+    json parsed = json::parse(body, nullptr, false);
+    for (const char* key : {"id", "name", "address"}) {
+        if (!parsed.is_object() || !parsed.contains(key) || !parsed[key].is_string()) {
+            return std::nullopt;
+        }
+    }
+    member_request request{parsed["id"], parsed["name"], parsed["address"]};
+    bool own_id =
+        request.id.size() > request.name.size() && request.id.compare(0, request.name.size(), request.name) == 0;
+    return own_id ? std::optional(request) : std::nullopt;
+}
+
 bool is_valid_submission_id(std::string_view id) {
     return !id.empty() && id.size() <= max_submission_id_bytes &&
            std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < '\x7f'; });
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -48,6 +48,16 @@
 // The target of a drain announcement {"target": "..."}; nothing when the body is anything else.
 std::optional<std::string> parse_drain_target(const std::string& body);
 
+// A control process that asks to become a member of the log.
+struct member_request {
+    std::string id;       // unique to its data directory
+    std::string name;     // id in the settings
+    std::string address;  // of its peer port
+
+    auto operator<=>(const member_request&) const = default;
+};
+std::optional<member_request> parse_member(const std::string& body);
+
 // Visible ASCII of at most `max_submission_id_bytes`.
 bool is_valid_submission_id(std::string_view id);
 
