Bind target selection, retry budget and quarantine to forwarding

The edge picks targets through target_pool, retries through retry_policy within the regions with weight, and reports lost connections and absent targets to the quarantine; notices go to the other edges.

--- a/src/edge/announcement.h
+++ b/src/edge/announcement.h
@@ -5,14 +5,12 @@
 #include <string>
 
 #include "messages_generated.h"
-#include "persimmongrade/clock.h"
 #include "persimmongrade/error.h"
 #include "persimmongrade/http.h"
+#include "persimmongrade/target_pool.h"
 
 namespace persimmongrade {
 
-inline constexpr duration target_lease = ms(3000);
-
 // The body is not an announcement; the message names the member.
 class announcement_error : public error {
 public:
--- a/src/edge/configuration_index.h
+++ b/src/edge/configuration_index.h
@@ -20,6 +20,7 @@
     const wire::configuration_t& configuration() const noexcept { return *this->content; }
     const wire::service_definition_t* service(const std::string& name) const;  // nullptr when no record declares it
     bool drained(const std::string& target) const { return this->drains.contains(target); }
+    const std::set<std::string>& drained_targets() const noexcept { return this->drains; }
     // nullptr when there is none.
     const wire::assignment_t* assignment(const std::string& service, const std::string& caller_region) const;
 
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -17,15 +17,9 @@
 namespace {
 
 constexpr duration ping_period = ms(250);
-constexpr duration expiry_period = ms(250);
+constexpr duration maintenance_period = ms(250);
 constexpr duration stop_check_period = ms(20);
 
-std::vector<std::string> ids_of(const std::vector<std::unique_ptr<wire::peer_settings_t>>& peers) {
-    std::vector<std::string> ids;
-    std::transform(peers.begin(), peers.end(), std::back_inserter(ids), [](const auto& peer) { return peer->id; });
-    return ids;
-}
-
 }  // namespace
 
 struct edge_server::impl {
@@ -42,27 +36,19 @@
     std::function<void()> on_stopped;
 
     impl(event_loop& loop, wire::edge_settings_t initial, metric_registry& metrics)
-        : loop(loop), settings(std::move(initial)),
-          metrics(metrics), edge{loop,
-                                 this->settings,
-                                 metrics,
-                                 refusal_counters(metrics),
-                                 http_client(loop),
-                                 config_client({this->settings.id, ids_of(this->settings.control)}),
-                                 std::make_shared<const configuration_index>(
-                                     std::make_shared<const wire::configuration_t>()),
-                                 {}},
-          forwarding(this->edge),
+        : loop(loop), settings(std::move(initial)), metrics(metrics),
+          edge(loop, this->settings, metrics, this->incarnation), forwarding(this->edge),
           peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
                 metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
           http(loop, ip_address::parse(this->settings.http_address), {this->settings.max_body_bytes},
                [this](http_request request, std::shared_ptr<http_exchange> exchange) {
                    this->handle(std::move(request), std::move(exchange));
                }) {
+        this->edge.send_notices = [this](const auto& notices) { this->send_notices(notices); };
         this->connect(this->settings.control);
         this->connect(this->settings.edges);
         this->timers.push_back(loop.every(ping_period, [this] { this->ping(); }));
-        this->timers.push_back(loop.every(expiry_period, [this] { this->expire_targets(); }));
+        this->timers.push_back(loop.every(maintenance_period, [this] { this->maintain_targets(); }));
     }
 
     ~impl() {
@@ -98,12 +84,8 @@
         ping.zone = this->settings.zone;
         ping.http_address = this->settings.http_address;
         ping.peer_address = this->settings.peer_address;
-        for (const auto& [id, target] : this->edge.targets) {
-            auto entry = std::make_unique<wire::target_outstanding_t>();
-            entry->service = target.info.service;
-            entry->target = id;
-            entry->requests = target.outstanding;
-            ping.outstanding.push_back(std::move(entry));
+        for (wire::target_outstanding_t& entry : this->edge.targets.all_outstanding()) {
+            ping.outstanding.push_back(std::make_unique<wire::target_outstanding_t>(std::move(entry)));
         }
         this->perform(this->edge.config.ping(this->loop.now(), std::move(ping)));
     }
@@ -114,6 +96,7 @@
         }
         if (actions.applied) {
             this->edge.index = std::make_shared<const configuration_index>(this->edge.config.configuration());
+            this->edge.targets.set_drains(this->loop.now(), this->edge.index->drained_targets());
             log_info("configuration applied", field("revision", this->edge.config.revision()));
         }
         bool first_lease =
@@ -145,9 +128,10 @@
             this->perform(this->edge.config.receive(now, envelope.from, *body.Asconfig_push()));
             return;
         case wire::message::target_update:
-            for (const auto& target : body.Astarget_update()->targets) {
-                this->update_target(*target);
-            }
+            this->apply_update(*body.Astarget_update());
+            return;
+        case wire::message::quarantine_notice:
+            this->send_notices(this->edge.crashes.receive(now, *body.Asquarantine_notice()));
             return;
         default:
             return;
@@ -156,40 +140,50 @@
 
     // ---- Targets ----
 
-    // Returns whether the announcement is newer than the known one.
-    bool update_target(const wire::target_info_t& info) {
-        known_target& known = this->edge.targets[info.id];
-        if (std::pair(known.info.incarnation, known.info.sequence) >= std::pair(info.incarnation, info.sequence)) {
-            return false;
+    void maintain_targets() {
+        time_point now = this->loop.now();
+        for (const target_choice& gone : this->edge.targets.tick(now)) {
+            this->send_notices(this->edge.crashes.target_gone(now, gone.service, gone.id));
         }
-        known.info = info;
-        known.expires_at = this->loop.now() + ms(info.lease_ms);
-        return true;
+        this->edge.crashes.tick(now);
     }
 
-    void expire_targets() {
-        std::erase_if(this->edge.targets, [&](const auto& entry) {
-            return entry.second.expires_at <= this->loop.now() && entry.second.outstanding == 0;
-        });
+    void apply_update(const wire::target_update_t& update) {
+        this->edge.targets.apply(this->loop.now(), update);
+        for (const auto& target : update.targets) {
+            this->edge.crashes.target_alive(target->service, target->id);
+        }
     }
 
     void announce(const http_request& request, http_exchange& exchange) {
         wire::target_info_t target = parse_announcement(request.body);
-        if (this->update_target(target)) {
-            wire::target_update_t update;
-            update.targets.push_back(std::make_unique<wire::target_info_t>(target));
-            for (const auto& peer : this->settings.edges) {
-                if (peer->id != this->settings.id) {
-                    this->peers.send(peer->id, update);
-                }
-            }
+        time_point now = this->loop.now();
+        if (this->edge.targets.announce(now, target)) {
+            this->edge.crashes.target_alive(target.service, target.id);
+            wire::target_update_t update = this->edge.targets.take_delta(now);
+            this->send_to_edges(update);
             if (!this->edge.config.leader().empty()) {
-                this->peers.send(this->edge.config.leader(), update);
+                this->peers.send(this->edge.config.leader(), std::move(update));
             }
         }
         exchange.respond(announcement_response(this->edge.index->drained(target.id)));
     }
 
+    template <typename Body>
+    void send_to_edges(const Body& body) {
+        for (const auto& peer : this->settings.edges) {
+            if (peer->id != this->settings.id) {
+                this->peers.send(peer->id, Body(body));
+            }
+        }
+    }
+
+    void send_notices(const std::vector<wire::quarantine_notice_t>& notices) {
+        for (const wire::quarantine_notice_t& notice : notices) {
+            this->send_to_edges(notice);
+        }
+    }
+
     // ---- HTTP ----
 
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) {
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -1,7 +1,8 @@
 #include "forwarder.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <array>
 #include <charconv>
 
 #include "forwarded_request.h"
@@ -30,6 +31,12 @@
     return std::min(ms(value), longest_deadline);
 }
 
+// Identifies the content of a request: method, path, query and body.
+std::uint64_t content_fingerprint(const http_request& request) {
+    std::string head = request.method + " " + request.path + "?" + request.query + "\n";
+    return XXH64(request.body.data(), request.body.size(), XXH64(head.data(), head.size(), 0));
+}
+
 }  // namespace
 
 void forwarder::handle(http_request request, std::shared_ptr<http_exchange> exchange) {
@@ -48,9 +55,10 @@
         }
         duration deadline = read_deadline(request);
         request.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
-        auto run = std::make_shared<forwarded_request>(this->edge, this->edge.index, *service, std::move(request),
-                                                       exchange, deadline);
-        run->start();
+        forward_order order{this->edge.index, service, std::move(request), exchange, deadline};
+        order.fingerprint = content_fingerprint(order.request);
+        order.caller_region = this->edge.settings.region;
+        std::make_shared<forwarded_request>(this->edge, std::move(order))->start();
     } catch (const refused_error& reason) {
         this->edge.refuse(*exchange, reason.refused);
     }
