--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -2,11 +2,14 @@
 
 #pragma once
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
 
+#include "admission.h"
 #include "configuration_index.h"
 #include "persimmongrade/config_client.h"
 #include "persimmongrade/event_loop.h"
@@ -21,6 +24,8 @@
 
 namespace persimmongrade {
 
+class execution;
+
 struct edge_context {
     edge_context(event_loop& loop, const wire::edge_settings_t& settings, metric_registry& metrics,
                  std::uint64_t incarnation);
@@ -32,6 +37,8 @@
     http_client client;
     config_client config;
     std::shared_ptr<const configuration_index> index;
+    lease_holder leases;
+    admission capacity;
     target_pool targets;
     retry_policy retries;
     quarantine crashes;
@@ -40,10 +47,16 @@
     wire::edge_state state = wire::edge_state::starting;
     bool refuse_new_work = false;  // late in a planned stop
     std::size_t running_requests = 0;
+    std::map<std::string, std::deque<std::weak_ptr<execution>>> queues;
 
     // Sends quarantine notices to the other edges; set by the server.
     std::function<void(std::vector<wire::quarantine_notice_t>)> send_notices;
 
+    // Queue of requests that wait for capacity, by service. False when it is full.
+    bool join_queue(const std::string& service, std::weak_ptr<execution> waiting);
+    void capacity_released(const std::string& service);  // lets waiting requests try again, oldest first
+    void retry_waiting();                                // the same for all services
+
     void refuse(http_exchange& exchange, const refusal& refused);  // answers and counts
 };
 
