--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -126,6 +126,9 @@
 
     std::vector<std::vector<std::string>> sets_of(std::string_view key) const;  // one or two sets
     std::set<std::string> all_of(std::string_view key) const;                   // their union
+    std::uint64_t hash() const;                                                 // equal members, equal hash
+
+    bool operator==(const ledger_members&) const = default;
 };
 
 // ---- 3. Replica ----
@@ -166,35 +169,44 @@
         ledger_attempt attempt;
         time_point at;
     };
+    struct claim {
+        ledger_attempt attempt;
+        std::uint64_t fingerprint = 0;
+    };
     struct entry {
         std::string service;
-        std::uint64_t fingerprint = 0;
+        std::uint64_t fingerprint = 0;  // of the first claim seen; a later one with another is refused
         std::int64_t key_time_ms = 0;
-        std::vector<ledger_attempt> claims;                   // live; more than one only after copying
+        std::vector<claim> claims;                            // live; more than one only after copying
         std::optional<ledger_attempt> aborted;                // last aborted attempt
-        std::optional<ledger_attempt> decided;                // attempt that completed or whose outcome is lost
+        std::optional<claim> decided;                         // attempt that completed or whose outcome is lost
         std::shared_ptr<const wire::stored_answer_t> answer;  // null while `decided` is uncertain
         std::optional<refusal> refused;
     };
     struct copy_progress {
-        std::uint64_t request_id = 0;  // of the page asked for; 0: none
-        std::uint64_t incarnation = 0;
+        std::uint64_t request_id = 0;   // of the page asked for; 0: none
+        std::uint64_t incarnation = 0;  // of the edge copied from
         std::string after_key;
-        time_point sent_at;
+        time_point retry_at;  // when the page is asked for (again)
         bool done = false;
     };
 
     std::vector<ledger_message> on_claim(time_point now, const std::string& from, const wire::claim_request_t& request);
-    std::vector<ledger_message> on_complete(const std::string& from, const wire::complete_request_t& request);
+    std::vector<ledger_message> on_complete(time_point now, const std::string& from,
+                                            const wire::complete_request_t& request);
     std::vector<ledger_message> on_abort(time_point now, const std::string& from, const wire::abort_request_t& request);
     std::vector<ledger_message> on_sync_request(time_point now, const wire::ledger_sync_request_t& request) const;
     std::vector<ledger_message> on_sync_reply(time_point now, const wire::ledger_sync_reply_t& reply);
     bool accepts_time(time_point now, std::int64_t key_time_ms) const noexcept;
-    bool member_of(std::string_view key, const std::string& edge) const;
+    entry* find_or_add(time_point now, const std::string& key);
+    static wire::claim_result decide_claim(const claim& wanted, const entry& found);
+    void decide(entry& found, const claim& attempt, std::shared_ptr<const wire::stored_answer_t> answer);
     void merge(time_point now, const wire::ledger_entry_t& incoming);
     void plan_copy();
-    wire::ledger_sync_request_t page_request(time_point now, copy_progress& progress);
-    wire::ledger_entry_t to_wire(time_point now, const std::string& key, const entry& value) const;
+    void request_page(time_point now, const std::string& peer, copy_progress& progress,
+                      std::vector<ledger_message>& out);
+    std::vector<wire::ledger_entry_t> to_wire(time_point now, const std::string& key, const entry& value) const;
+    void expire(time_point now);
     std::int64_t unix_ms(time_point now) const noexcept;
 
     ledger_replica_options options;
@@ -286,9 +298,11 @@
         std::vector<std::vector<std::string>> sets;
         std::optional<ledger_attempt> rival;  // waiting: the attempt waited for
         time_point queried_at;
-        time_point heard_at;            // last status of the rival
-        std::set<ledger_attempt> gone;  // attempts whose owner does not know or does not reply
-        bool conflicted = false;
+        time_point heard_at;                   // last status of the rival
+        std::set<ledger_attempt> gone;         // attempts whose owner does not know or does not reply
+        std::optional<time_point> refused_at;  // latest not_run refusal of the key that an owner reported
+        bool conflicted = false;               // another attempt's claim was seen
+        bool other_content = false;            // a replica saw the key with another fingerprint
         bool wait_told = false;
     };
     struct finished {
@@ -306,34 +320,42 @@
     };
 
     void on_claim_reply(time_point now, const std::string& from, const wire::claim_reply_t& reply, ledger_actions& out);
-    void on_status(time_point now, const std::string& from, const wire::attempt_status_t& status, ledger_actions& out);
+    bool settled_by(time_point now, const active& attempt, const wire::ledger_entry_t& entry, ledger_actions& out);
+    bool conflicts(time_point now, active& attempt, vote& from, const wire::ledger_entry_t& entry, ledger_actions& out);
     void on_query(time_point now, const std::string& from, const wire::attempt_query_t& query,
                   ledger_actions& out) const;
-    bool settle_by_entry(time_point now, active& attempt, const wire::ledger_entry_t& entry, ledger_actions& out);
-    bool majority(const active& attempt) const;
+    void on_status(time_point now, const std::string& from, const wire::attempt_status_t& status, ledger_actions& out);
+    void on_confirmation(const std::string& replica, std::uint64_t number);
+    void on_rival_aborted(time_point now, active& attempt, const wire::attempt_status_t& status, ledger_actions& out);
+    void on_rival_gone(time_point now, active& attempt, const ledger_attempt& rival, ledger_actions& out);
     void evaluate(time_point now, active& attempt, ledger_actions& out);
+    void dispatch_or_refuse(time_point now, active& attempt, ledger_actions& out);
     void start_round(time_point now, active& attempt, ledger_actions& out);
-    void send_claim(time_point now, active& attempt, const std::string& replica, ledger_actions& out);
-    void query_rivals(time_point now, active& attempt, ledger_actions& out);
+    void send_claim(time_point now, const active& attempt, const std::string& replica, vote& to,
+                    ledger_actions& out) const;
+    void query(time_point now, active& attempt, const std::set<ledger_attempt>& rivals, ledger_actions& out) const;
     void yield_to(time_point now, active& attempt, const ledger_attempt& rival, ledger_actions& out);
     void retire(time_point now, const active& attempt, wire::ledger_state state,
                 std::shared_ptr<const wire::stored_answer_t> answer, bool refused, ledger_actions& out);
     void send_finished(time_point now, std::uint64_t number, finished& record, ledger_actions& out) const;
-    void finish_refused(time_point now, const std::string& key, wire::refusal_reason reason, wire::outcome outcome,
-                        ledger_actions& out);
-    void finish_replayed(time_point now, const std::string& key, std::shared_ptr<const wire::stored_answer_t> answer,
-                         ledger_actions& out);
-    void tick_active(time_point now, active& attempt, ledger_actions& out);
-    void expire_waiters(time_point now, active& attempt, ledger_actions& out) const;
+    void refuse_all(const active& attempt, wire::refusal_reason reason, wire::outcome outcome, ledger_actions& out);
+    void replay_all(const active& attempt, std::shared_ptr<const wire::stored_answer_t> answer, ledger_actions& out);
+    void tick_active(time_point now, const std::string& key, ledger_actions& out);
+    void tick_claiming(time_point now, active& attempt, ledger_actions& out);
+    bool expire_waiters(time_point now, active& attempt, ledger_actions& out);
     void tick_finished(time_point now, ledger_actions& out);
     active* dispatched(std::uint64_t attempt);
+    time_point refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const;
     ledger_attempt id_of(std::uint64_t number) const;
 
     ledger_coordinator_options options;
     ledger_members members;
     std::uint64_t last_number = 0;
     std::map<std::string, active> active_by_key;
-    std::map<std::uint64_t, finished> finished_by_number;  // kept for the retention, without answers once delivered
+    std::map<std::uint64_t, std::string> dispatched_keys;  // by attempt number
+    std::map<std::uint64_t, finished> finished_by_number;  // see tick_finished()
+    std::map<std::uint64_t, time_point> finished_times;    // not confirmed by all replicas
+    std::map<std::uint64_t, time_point> confirmed_times;   // confirmed by all replicas
     std::set<std::uint64_t> unconfirmed;                   // numbers in finished_by_number with pending replicas
 };
 
--- /dev/null
+++ b/src/request/ledger_coordinator.cpp
@@ -0,0 +1,659 @@
+// Ledger coordinator: attempts of the requests that this edge serves.
+//
+// Index: 1. Requests  2. Rounds of claims  3. Attempts of other edges  4. Outcomes  5. Time
+
+#include <algorithm>
+
+#include "ledger_wire.h"
+#include "persimmongrade/ledger.h"
+#include "persimmongrade/uuid.h"
+
+namespace persimmongrade {
+
+namespace {
+
+// A rival's owner that does not reply for this long is treated as dead: the key is claimed again where possible.
+constexpr duration rival_silence = ms(400);
+// Delivery of an outcome is repeated less often once the replicas had this much time.
+constexpr duration delivery_slow_after = ms(5000);
+constexpr duration delivery_slow_interval = ms(2000);
+
+std::size_t quorum_of(const std::vector<std::string>& set) {
+    return set.size() / 2 + 1;
+}
+
+ledger_outcome refusal_of(std::uint64_t request, wire::refusal_reason reason, wire::outcome outcome) {
+    ledger_outcome refused;
+    refused.request = request;
+    refused.reason = reason;
+    refused.outcome = outcome;
+    refused.retry_after_ms = outcome == wire::outcome::not_run && reason == wire::refusal_reason::claim_conflict
+                                 ? ledger_conflict_retry_ms
+                                 : 0;
+    return refused;
+}
+
+}  // namespace
+
+// ---- 1. Requests ----
+
+ledger_coordinator::ledger_coordinator(ledger_coordinator_options options, ledger_members members)
+    : options(std::move(options)), members(std::move(members)) {
+    if (this->members.current.empty()) {
+        throw ledger_membership_error("the ledger has no members");
+    }
+}
+
+void ledger_coordinator::set_members(ledger_members members) {
+    if (members.current.empty()) {
+        throw ledger_membership_error("the ledger has no members");
+    }
+    this->members = std::move(members);
+}
+
+ledger_actions ledger_coordinator::begin(time_point now, const ledger_request& request) {
+    ledger_actions out;
+    auto refuse = [&](wire::refusal_reason reason, wire::outcome outcome) {
+        out.outcomes.push_back(refusal_of(request.request, reason, outcome));
+        return out;
+    };
+    std::int64_t key_time = 0;
+    try {
+        key_time = uuid_v7_time_ms(request.key);
+    } catch (const uuid_error&) {
+        return refuse(wire::refusal_reason::idempotency_key_invalid, wire::outcome::not_run);
+    }
+    std::int64_t age = now.time_since_epoch().count() + this->options.unix_offset_ms - key_time;
+    if (age > ledger_max_key_age.count()) {
+        return refuse(wire::refusal_reason::key_expired, wire::outcome::unknown);
+    }
+    if (age < -ledger_max_key_future.count()) {
+        return refuse(wire::refusal_reason::key_from_future, wire::outcome::not_run);
+    }
+    if (now >= request.deadline) {
+        return refuse(wire::refusal_reason::deadline_exceeded, wire::outcome::unknown);
+    }
+    auto [position, added] = this->active_by_key.try_emplace(request.key);
+    auto& attempt = position->second;
+    if (!added && (attempt.fingerprint != request.fingerprint || attempt.service != request.service)) {
+        bool held = attempt.state == phase::dispatched;  // the other content holds the key and may have run
+        return refuse(wire::refusal_reason::key_reused, held ? wire::outcome::not_run : wire::outcome::unknown);
+    }
+    attempt.waiters.push_back({request.request, request.deadline});
+    if (!added) {
+        out.outcomes.push_back({request.request, ledger_verdict::wait});
+        return out;
+    }
+    attempt.key = request.key;
+    attempt.service = request.service;
+    attempt.fingerprint = request.fingerprint;
+    attempt.key_time_ms = key_time;
+    attempt.begun_at = now;
+    this->start_round(now, attempt, out);
+    return out;
+}
+
+ledger_actions ledger_coordinator::receive(time_point now, const std::string& from, const ledger_message_body& body) {
+    ledger_actions out;
+    if (const auto* reply = std::get_if<wire::claim_reply_t>(&body)) {
+        this->on_claim_reply(now, from, *reply, out);
+    } else if (const auto* query_body = std::get_if<wire::attempt_query_t>(&body)) {
+        this->on_query(now, from, *query_body, out);
+    } else if (const auto* status = std::get_if<wire::attempt_status_t>(&body)) {
+        this->on_status(now, from, *status, out);
+    }
+    return out;
+}
+
+std::size_t ledger_coordinator::running() const noexcept {
+    return this->active_by_key.size();
+}
+
+std::size_t ledger_coordinator::undelivered() const noexcept {
+    return static_cast<std::size_t>(
+        std::count_if(this->unconfirmed.begin(), this->unconfirmed.end(), [this](std::uint64_t number) {
+            const auto& record = this->finished_by_number.at(number);
+            return record.replicas - record.pending.size() < record.replicas / 2 + 1;
+        }));
+}
+
+ledger_attempt ledger_coordinator::id_of(std::uint64_t number) const {
+    return {this->options.edge, this->options.incarnation, number};
+}
+
+// ---- 2. Rounds of claims ----
+
+// Every round is an attempt of its own, so that replies to an earlier one cannot count for it.
+void ledger_coordinator::start_round(time_point now, active& attempt, ledger_actions& out) {
+    attempt.number = ++this->last_number;
+    attempt.state = phase::claiming;
+    attempt.claimed_from = now;
+    attempt.rival.reset();
+    attempt.conflicted = false;
+    attempt.other_content = false;
+    attempt.sets = this->members.sets_of(attempt.key);
+    attempt.votes.clear();
+    for (const auto& set : attempt.sets) {
+        for (const auto& replica : set) {
+            auto [vote, added] = attempt.votes.try_emplace(replica);
+            if (added) {
+                this->send_claim(now, attempt, replica, vote->second, out);
+            }
+        }
+    }
+}
+
+void ledger_coordinator::send_claim(time_point now, const active& attempt, const std::string& replica, vote& to,
+                                    ledger_actions& out) const {
+    wire::claim_request_t request;
+    request.request_id = attempt.number;
+    request.entry = std::make_unique<wire::ledger_entry_t>();
+    request.entry->key = attempt.key;
+    request.entry->service = attempt.service;
+    request.entry->fingerprint = attempt.fingerprint;
+    request.entry->key_time_ms = attempt.key_time_ms;
+    request.entry->attempt = to_wire(this->id_of(attempt.number));
+    to.sent_at = now;
+    out.messages.push_back({replica, std::move(request)});
+}
+
+void ledger_coordinator::on_claim_reply(time_point now, const std::string& from, const wire::claim_reply_t& reply,
+                                        ledger_actions& out) {
+    auto position = this->active_by_key.find(reply.key);
+    if (position == this->active_by_key.end()) {
+        return;
+    }
+    auto& attempt = position->second;
+    auto found = attempt.votes.find(from);
+    if (reply.request_id != attempt.number || attempt.state != phase::claiming || found == attempt.votes.end() ||
+        now - attempt.claimed_from > ledger_claim_window) {
+        return;
+    }
+    auto& from_vote = found->second;
+    if (from_vote.replied && from_vote.incarnation != reply.incarnation) {
+        from_vote.granted = false;  // the replica restarted and forgot the claim
+    }
+    if (from_vote.granted) {
+        return;
+    }
+    from_vote.replied = true;
+    from_vote.incarnation = reply.incarnation;
+    from_vote.conflict.reset();
+    const auto* entry = reply.entry.get();
+    if (entry != nullptr && entry->attempt != nullptr) {
+        if (this->settled_by(now, attempt, *entry, out) || this->conflicts(now, attempt, from_vote, *entry, out)) {
+            return;
+        }
+        if (entry->refused_by != nullptr && entry->refused_ms_ago >= 0) {
+            from_vote.refused_at = this->refusal_time(now, from_wire(*entry->refused_by), entry->refused_ms_ago);
+        }
+    }
+    if (reply.result == wire::claim_result::granted) {
+        from_vote.granted = true;
+        attempt.other_content =
+            attempt.other_content || (entry != nullptr && entry->fingerprint != attempt.fingerprint);
+    }
+    this->evaluate(now, attempt, out);
+}
+
+// The key was decided before: its answer is replayed, or its outcome is unknown. True when that ends the attempt.
+bool ledger_coordinator::settled_by(time_point now, const active& attempt, const wire::ledger_entry_t& entry,
+                                    ledger_actions& out) {
+    if (entry.state != wire::ledger_state::completed && entry.state != wire::ledger_state::uncertain) {
+        return false;
+    }
+    this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
+    if (entry.fingerprint != attempt.fingerprint) {
+        // The other content held a majority when it was dispatched, so this one never ran and never will.
+        this->refuse_all(attempt, wire::refusal_reason::key_reused, wire::outcome::not_run, out);
+    } else if (entry.answer == nullptr) {
+        this->refuse_all(attempt, wire::refusal_reason::outcome_unknown, wire::outcome::unknown, out);
+    } else {
+        this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*entry.answer), out);
+    }
+    return true;
+}
+
+// Another attempt holds the key at this replica. True when that ends the attempt.
+bool ledger_coordinator::conflicts(time_point now, active& attempt, vote& from, const wire::ledger_entry_t& entry,
+                                   ledger_actions& out) {
+    auto other = from_wire(*entry.attempt);
+    if (entry.state != wire::ledger_state::claimed || other == this->id_of(attempt.number)) {
+        return false;
+    }
+    attempt.conflicted = true;
+    if (entry.fingerprint != attempt.fingerprint) {
+        this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
+        this->refuse_all(attempt, wire::refusal_reason::key_reused, wire::outcome::unknown, out);
+        return true;
+    }
+    from.conflict = other;
+    if (!attempt.gone.contains(other)) {
+        this->query(now, attempt, {other}, out);
+    }
+    return false;
+}
+
+void ledger_coordinator::evaluate(time_point now, active& attempt, ledger_actions& out) {
+    if (attempt.state != phase::claiming) {
+        return;
+    }
+    bool claimed = true;
+    bool possible = true;  // with the replies still awaited
+    for (const auto& set : attempt.sets) {
+        std::size_t granted = 0;
+        std::size_t lost = 0;
+        for (const auto& replica : set) {
+            const auto& vote = attempt.votes.at(replica);
+            granted += vote.granted ? 1 : 0;
+            lost += vote.conflict && attempt.gone.contains(*vote.conflict) ? 1 : 0;
+        }
+        claimed = claimed && granted >= quorum_of(set);
+        possible = possible && set.size() - lost >= quorum_of(set);
+    }
+    if (claimed) {
+        this->dispatch_or_refuse(now, attempt, out);
+    } else if (!possible) {
+        this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
+        this->refuse_all(attempt, wire::refusal_reason::outcome_unknown, wire::outcome::unknown, out);
+    }
+}
+
+// Holding a majority proves that the key has not run and that no other attempt can run it.
+void ledger_coordinator::dispatch_or_refuse(time_point now, active& attempt, ledger_actions& out) {
+    auto refused_at = attempt.refused_at;
+    for (const auto& [replica, vote] : attempt.votes) {
+        if (vote.granted && vote.refused_at) {
+            refused_at = std::max(refused_at.value_or(*vote.refused_at), *vote.refused_at);
+        }
+    }
+    // A caller was told not_run after this request began. Running it now would make that statement false.
+    bool told_not_run = refused_at && *refused_at >= attempt.begun_at;
+    if (told_not_run || attempt.other_content) {
+        auto reason = told_not_run ? wire::refusal_reason::claim_conflict : wire::refusal_reason::key_reused;
+        this->retire(now, attempt, wire::ledger_state::aborted, nullptr, true, out);
+        this->refuse_all(attempt, reason, wire::outcome::not_run, out);
+        return;
+    }
+    attempt.state = phase::dispatched;
+    this->dispatched_keys[attempt.number] = attempt.key;
+    ledger_outcome outcome{attempt.waiters.front().request, ledger_verdict::dispatch};
+    outcome.attempt = attempt.number;
+    out.outcomes.push_back(std::move(outcome));
+}
+
+// Latest time, on the own clock, at which the refusal can have been given.
+time_point ledger_coordinator::refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const {
+    if (by.edge == this->options.edge && by.incarnation == this->options.incarnation) {
+        auto own = this->finished_by_number.find(by.number);
+        if (own != this->finished_by_number.end() && own->second.refused_at) {
+            return *own->second.refused_at;
+        }
+    }
+    auto shortest = static_cast<std::int64_t>(static_cast<double>(ms_ago) * (1.0 - clock_rate_margin));
+    return now - ms(std::max<std::int64_t>(0, shortest - clock_fixed_margin.count()));
+}
+
+ledger_actions ledger_coordinator::peer_disconnected(time_point /*now*/, const std::string& edge) {
+    for (auto& [key, attempt] : this->active_by_key) {
+        auto found = attempt.votes.find(edge);
+        if (attempt.state == phase::claiming && found != attempt.votes.end()) {
+            found->second = {};  // its claim is sent again by tick()
+        }
+    }
+    return {};
+}
+
+// ---- 3. Attempts of other edges ----
+
+void ledger_coordinator::query(time_point now, active& attempt, const std::set<ledger_attempt>& rivals,
+                               ledger_actions& out) const {
+    attempt.queried_at = now;
+    for (const auto& rival : rivals) {
+        wire::attempt_query_t message;
+        message.request_id = attempt.number;
+        message.key = attempt.key;
+        message.attempt = to_wire(rival);
+        out.messages.push_back({rival.edge, std::move(message)});
+    }
+}
+
+void ledger_coordinator::on_query(time_point now, const std::string& from, const wire::attempt_query_t& query,
+                                  ledger_actions& out) const {
+    if (query.attempt == nullptr) {
+        return;
+    }
+    wire::attempt_status_t status;
+    status.request_id = query.request_id;
+    status.key = query.key;
+    status.attempt = std::make_unique<wire::attempt_id_t>(*query.attempt);
+    status.state = wire::attempt_state::unknown;
+    auto wanted = from_wire(*query.attempt);
+    bool own = wanted == this->id_of(wanted.number);
+    auto running = this->active_by_key.find(query.key);
+    auto ended = this->finished_by_number.find(wanted.number);
+    if (own && running != this->active_by_key.end() && running->second.number == wanted.number &&
+        running->second.state != phase::waiting) {
+        status.state = wire::attempt_state::running;
+        status.dispatched = running->second.state == phase::dispatched;
+    } else if (own && ended != this->finished_by_number.end() && ended->second.key == query.key) {
+        const auto& record = ended->second;
+        if (record.state == wire::ledger_state::completed) {
+            status.state = wire::attempt_state::completed;
+            status.answer = copy_of(record.answer);
+        } else if (record.state == wire::ledger_state::aborted) {
+            status.state = wire::attempt_state::aborted;
+            status.refused_ms_ago = record.refused_at ? (now - *record.refused_at).count() : -1;
+        }
+    }
+    out.messages.push_back({from, std::move(status)});
+}
+
+void ledger_coordinator::on_status(time_point now, const std::string& from, const wire::attempt_status_t& status,
+                                   ledger_actions& out) {
+    if (status.attempt == nullptr) {
+        return;
+    }
+    auto rival = from_wire(*status.attempt);
+    if (status.request_id == 0) {
+        if (rival == this->id_of(rival.number)) {
+            this->on_confirmation(from, rival.number);
+        }
+        return;
+    }
+    auto position = this->active_by_key.find(status.key);
+    if (position == this->active_by_key.end() || rival.edge != from) {
+        return;
+    }
+    auto& attempt = position->second;
+    bool expected = attempt.state == phase::waiting && attempt.rival == rival;
+    for (const auto& [replica, vote] : attempt.votes) {
+        expected = expected || (attempt.state == phase::claiming && vote.conflict == rival);
+    }
+    if (!expected) {
+        return;
+    }
+    attempt.heard_at = now;
+    if (status.state == wire::attempt_state::completed && status.answer != nullptr) {
+        this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
+        this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*status.answer), out);
+    } else if (status.state == wire::attempt_state::aborted) {
+        this->on_rival_aborted(now, attempt, status, out);
+    } else if (status.state != wire::attempt_state::running) {
+        this->on_rival_gone(now, attempt, rival, out);  // a completed one without answer is stored on a majority
+    } else if (attempt.state == phase::claiming && (status.dispatched || rival < this->id_of(attempt.number))) {
+        this->yield_to(now, attempt, rival, out);
+    }
+}
+
+// The owner states that the attempt never ran and never will, so its claims may be replaced.
+void ledger_coordinator::on_rival_aborted(time_point now, active& attempt, const wire::attempt_status_t& status,
+                                          ledger_actions& out) {
+    auto rival = from_wire(*status.attempt);
+    if (status.refused_ms_ago >= 0) {
+        auto refused_at = this->refusal_time(now, rival, status.refused_ms_ago);
+        attempt.refused_at = std::max(attempt.refused_at.value_or(refused_at), refused_at);
+    }
+    for (auto& [replica, vote] : attempt.votes) {
+        if (attempt.state == phase::claiming && vote.conflict != rival) {
+            continue;
+        }
+        wire::abort_request_t abort;
+        abort.key = attempt.key;
+        abort.attempt = to_wire(rival);
+        abort.refused_ms_ago = status.refused_ms_ago;
+        out.messages.push_back({replica, std::move(abort)});
+        if (attempt.state == phase::claiming) {
+            vote.conflict.reset();
+            this->send_claim(now, attempt, replica, vote, out);
+        }
+    }
+    if (attempt.state == phase::waiting) {
+        this->start_round(now, attempt, out);
+    }
+}
+
+void ledger_coordinator::on_rival_gone(time_point now, active& attempt, const ledger_attempt& rival,
+                                       ledger_actions& out) {
+    attempt.gone.insert(rival);
+    if (attempt.state == phase::waiting) {
+        this->start_round(now, attempt, out);
+    } else {
+        this->evaluate(now, attempt, out);
+    }
+}
+
+// Releases the own claims so that the other attempt can have a majority, and waits for its outcome.
+void ledger_coordinator::yield_to(time_point now, active& attempt, const ledger_attempt& rival, ledger_actions& out) {
+    this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
+    attempt.state = phase::waiting;
+    attempt.rival = rival;
+    attempt.heard_at = now;
+    if (!attempt.wait_told) {
+        out.outcomes.push_back({attempt.waiters.front().request, ledger_verdict::wait});
+        attempt.wait_told = true;
+    }
+}
+
+// ---- 4. Outcomes ----
+
+ledger_coordinator::active* ledger_coordinator::dispatched(std::uint64_t attempt) {
+    auto key = this->dispatched_keys.find(attempt);
+    return key == this->dispatched_keys.end() ? nullptr : &this->active_by_key.at(key->second);
+}
+
+ledger_actions ledger_coordinator::complete(time_point now, std::uint64_t attempt, wire::stored_answer_t answer) {
+    ledger_actions out;
+    auto* found = this->dispatched(attempt);
+    if (found == nullptr) {
+        return out;
+    }
+    auto stored = std::make_shared<const wire::stored_answer_t>(std::move(answer));
+    this->retire(now, *found, wire::ledger_state::completed, stored, false, out);
+    found->waiters.erase(found->waiters.begin());  // the edge passes the answer on to the request that was dispatched
+    this->replay_all(*found, stored, out);
+    return out;
+}
+
+ledger_actions ledger_coordinator::not_dispatched(time_point now, std::uint64_t attempt, wire::refusal_reason reason) {
+    ledger_actions out;
+    if (auto* found = this->dispatched(attempt)) {
+        this->retire(now, *found, wire::ledger_state::aborted, nullptr, true, out);
+        this->refuse_all(*found, reason, wire::outcome::not_run, out);
+    }
+    return out;
+}
+
+ledger_actions ledger_coordinator::outcome_lost(time_point now, std::uint64_t attempt, wire::refusal_reason reason) {
+    ledger_actions out;
+    if (auto* found = this->dispatched(attempt)) {
+        this->retire(now, *found, wire::ledger_state::uncertain, nullptr, false, out);
+        this->refuse_all(*found, reason, wire::outcome::unknown, out);
+    }
+    return out;
+}
+
+// Ends the current attempt and tells every replica that was asked, since a claim may still be under way to it.
+void ledger_coordinator::retire(time_point now, const active& attempt, wire::ledger_state state,
+                                std::shared_ptr<const wire::stored_answer_t> answer, bool refused,
+                                ledger_actions& out) {
+    if (attempt.state == phase::waiting) {
+        return;  // its claims were released before
+    }
+    this->dispatched_keys.erase(attempt.number);
+    finished record;
+    record.key = attempt.key;
+    record.service = attempt.service;
+    record.fingerprint = attempt.fingerprint;
+    record.key_time_ms = attempt.key_time_ms;
+    record.state = state;
+    record.answer = std::move(answer);
+    record.refused_at = refused ? std::optional(now) : std::nullopt;
+    for (const auto& [replica, vote] : attempt.votes) {
+        record.pending.insert(replica);
+    }
+    record.replicas = record.pending.size();
+    record.finished_at = now;
+    this->send_finished(now, attempt.number, record, out);
+    this->unconfirmed.insert(attempt.number);
+    this->finished_times[attempt.number] = now;
+    this->finished_by_number.insert_or_assign(attempt.number, std::move(record));
+}
+
+void ledger_coordinator::send_finished(time_point now, std::uint64_t number, finished& record,
+                                       ledger_actions& out) const {
+    record.sent_at = now;
+    for (const auto& replica : record.pending) {
+        if (record.state == wire::ledger_state::aborted) {
+            wire::abort_request_t abort;
+            abort.key = record.key;
+            abort.attempt = to_wire(this->id_of(number));
+            abort.refused_ms_ago = record.refused_at ? (now - *record.refused_at).count() : -1;
+            out.messages.push_back({replica, std::move(abort)});
+            continue;
+        }
+        wire::complete_request_t completion;
+        completion.key = record.key;
+        completion.attempt = to_wire(this->id_of(number));
+        completion.state = record.state;
+        completion.answer = copy_of(record.answer);
+        completion.service = record.service;
+        completion.fingerprint = record.fingerprint;
+        out.messages.push_back({replica, std::move(completion)});
+    }
+}
+
+void ledger_coordinator::on_confirmation(const std::string& replica, std::uint64_t number) {
+    auto found = this->finished_by_number.find(number);
+    if (found == this->finished_by_number.end()) {
+        return;
+    }
+    found->second.pending.erase(replica);
+    if (found->second.pending.empty()) {
+        found->second.answer.reset();
+        this->unconfirmed.erase(number);
+        this->confirmed_times.try_emplace(number, found->second.finished_at);
+        this->finished_times.erase(number);
+    }
+}
+
+void ledger_coordinator::refuse_all(const active& attempt, wire::refusal_reason reason, wire::outcome outcome,
+                                    ledger_actions& out) {
+    for (const auto& waiter : attempt.waiters) {
+        out.outcomes.push_back(refusal_of(waiter.request, reason, outcome));
+    }
+    this->active_by_key.erase(std::string(attempt.key));
+}
+
+void ledger_coordinator::replay_all(const active& attempt, std::shared_ptr<const wire::stored_answer_t> answer,
+                                    ledger_actions& out) {
+    for (const auto& waiter : attempt.waiters) {
+        ledger_outcome outcome{waiter.request, ledger_verdict::replay};
+        outcome.answer = answer;
+        out.outcomes.push_back(std::move(outcome));
+    }
+    this->active_by_key.erase(std::string(attempt.key));
+}
+
+// ---- 5. Time ----
+
+ledger_actions ledger_coordinator::tick(time_point now) {
+    ledger_actions out;
+    std::vector<std::string> keys;
+    keys.reserve(this->active_by_key.size());
+    for (const auto& [key, attempt] : this->active_by_key) {
+        keys.push_back(key);
+    }
+    for (const auto& key : keys) {
+        this->tick_active(now, key, out);
+    }
+    this->tick_finished(now, out);
+    return out;
+}
+
+void ledger_coordinator::tick_active(time_point now, const std::string& key, ledger_actions& out) {
+    auto& attempt = this->active_by_key.at(key);
+    if (this->expire_waiters(now, attempt, out) || attempt.state == phase::dispatched) {
+        return;
+    }
+    if (attempt.state == phase::claiming) {
+        this->tick_claiming(now, attempt, out);
+        return;
+    }
+    if (now - attempt.heard_at >= rival_silence) {
+        this->on_rival_gone(now, attempt, ledger_attempt(*attempt.rival), out);
+    } else if (now - attempt.queried_at >= ledger_query_interval) {
+        this->query(now, attempt, {*attempt.rival}, out);
+    }
+}
+
+void ledger_coordinator::tick_claiming(time_point now, active& attempt, ledger_actions& out) {
+    if (now - attempt.claimed_from > ledger_claim_window) {
+        auto reason =
+            attempt.conflicted ? wire::refusal_reason::outcome_unknown : wire::refusal_reason::claim_quorum_unavailable;
+        this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
+        this->refuse_all(attempt, reason, wire::outcome::unknown, out);
+        return;
+    }
+    std::set<ledger_attempt> rivals;
+    for (auto& [replica, vote] : attempt.votes) {
+        if (!vote.granted && now - vote.sent_at >= ledger_resend_interval) {
+            this->send_claim(now, attempt, replica, vote, out);
+        }
+        if (vote.conflict && !attempt.gone.contains(*vote.conflict)) {
+            rivals.insert(*vote.conflict);
+        }
+    }
+    if (!rivals.empty() && now - attempt.queried_at >= ledger_query_interval) {
+        this->query(now, attempt, rivals, out);
+    }
+}
+
+// Requests whose deadline passed get `unknown`. True when none is left and the attempt ended. The request that was
+// dispatched is the edge's to answer.
+bool ledger_coordinator::expire_waiters(time_point now, active& attempt, ledger_actions& out) {
+    auto first = attempt.waiters.begin() + (attempt.state == phase::dispatched ? 1 : 0);
+    auto late = std::stable_partition(first, attempt.waiters.end(),
+                                      [now](const waiter& entry) { return now < entry.deadline; });
+    for (auto at = late; at != attempt.waiters.end(); ++at) {
+        out.outcomes.push_back(
+            refusal_of(at->request, wire::refusal_reason::deadline_exceeded, wire::outcome::unknown));
+    }
+    attempt.waiters.erase(late, attempt.waiters.end());
+    if (!attempt.waiters.empty()) {
+        return false;
+    }
+    this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
+    this->active_by_key.erase(std::string(attempt.key));
+    return true;
+}
+
+// Repeats undelivered outcomes. A record that all replicas confirmed is needed only by requests that are under way; the
+// others are kept until no key can be sent any more that they belong to.
+void ledger_coordinator::tick_finished(time_point now, ledger_actions& out) {
+    for (auto at = this->unconfirmed.begin(); at != this->unconfirmed.end();) {
+        auto& record = this->finished_by_number.at(*at);
+        bool delivered = record.replicas - record.pending.size() >= record.replicas / 2 + 1;
+        if (delivered && now - record.finished_at >= this->options.keep_answer) {
+            record.answer.reset();
+            at = this->unconfirmed.erase(at);
+            continue;
+        }
+        bool slow = now - record.finished_at >= delivery_slow_after;
+        if (now - record.sent_at >= (slow ? delivery_slow_interval : ledger_resend_interval)) {
+            this->send_finished(now, *at, record, out);
+        }
+        ++at;
+    }
+    auto forget = [this](std::map<std::uint64_t, time_point>& queue, time_point until) {
+        while (!queue.empty() && queue.begin()->second <= until) {
+            this->finished_by_number.erase(queue.begin()->first);
+            this->unconfirmed.erase(queue.begin()->first);
+            queue.erase(queue.begin());
+        }
+    };
+    forget(this->confirmed_times, now - this->options.keep_answer);
+    forget(this->finished_times, now - ledger_retention - ledger_max_key_future);
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/request/ledger_replica.cpp
@@ -0,0 +1,430 @@
+// Ledger replica: entries of the keys whose replica set includes this edge.
+//
+// Index: 1. Start, members and voting  2. Claims, completions and aborts  3. Copying after a restart
+
+#include <algorithm>
+
+#include "ledger_wire.h"
+#include "persimmongrade/ledger.h"
+#include "persimmongrade/uuid.h"
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr duration page_timeout = ms(1000);  // a page without a reply is asked for again
+constexpr duration copy_retry = ms(500);     // after a peer that cannot serve copies itself
+
+wire::attempt_status_t confirmation(const std::string& key, const wire::attempt_id_t& attempt,
+                                    wire::attempt_state state) {
+    wire::attempt_status_t status;  // request_id 0 marks it as a confirmation
+    status.key = key;
+    status.attempt = std::make_unique<wire::attempt_id_t>(attempt);
+    status.state = state;
+    return status;
+}
+
+}  // namespace
+
+// ---- 1. Start, members and voting ----
+
+ledger_replica::ledger_replica(time_point now, ledger_replica_options options, ledger_members members)
+    : options(std::move(options)), members(std::move(members)), started_at(now), copy_from(now + ledger_settle_time),
+      complete(this->options.first_start), complete_before(this->options.first_start) {
+    if (this->members.current.empty()) {
+        throw ledger_membership_error("the ledger has no members");
+    }
+    this->plan_copy();
+}
+
+void ledger_replica::set_members(time_point now, ledger_members members) {
+    if (members == this->members) {
+        return;
+    }
+    if (members.current.empty()) {
+        throw ledger_membership_error("the ledger has no members");
+    }
+    bool finished = members.previous.empty() && members.current == this->members.current;
+    this->members = std::move(members);
+    if (finished && this->complete) {
+        return;
+    }
+    this->complete_before = this->complete;
+    this->complete = false;
+    this->copy_from = now + ledger_change_settle_time;
+    this->plan_copy();
+}
+
+// The members of other regions hold every entry of this replica's keys. While members change, those before the change
+// do: each claim is on a majority of them.
+void ledger_replica::plan_copy() {
+    const auto& holders = this->members.previous.empty() ? this->members.current : this->members.previous;
+    std::string region;
+    for (const auto* list : {&this->members.previous, &this->members.current}) {
+        for (const auto& member : *list) {
+            region = member.edge == this->options.edge ? member.region : region;
+        }
+    }
+    this->copies.clear();
+    for (const auto& member : holders) {
+        if (member.region != region && member.edge != this->options.edge) {
+            this->copies[member.edge];
+        }
+    }
+}
+
+bool ledger_replica::accepts_time(time_point now, std::int64_t key_time_ms) const noexcept {
+    std::int64_t age = this->unix_ms(now) - key_time_ms;
+    return age >= -ledger_replica_max_future.count() && age < ledger_retention.count();
+}
+
+bool ledger_replica::voting() const noexcept {
+    return this->complete;
+}
+
+bool ledger_replica::votes_on(time_point now, std::string_view key) const {
+    std::int64_t key_time = uuid_v7_time_ms(key);
+    if (!this->accepts_time(now, key_time) || !this->members.all_of(key).contains(this->options.edge)) {
+        return false;
+    }
+    // Nothing about a later key can have been accepted before copy_from, and so nothing forgotten or missed.
+    if (this->complete || key_time > this->unix_ms(this->copy_from) + ledger_replica_max_future.count()) {
+        return true;
+    }
+    if (!this->complete_before) {
+        return false;
+    }
+    auto before = replica_set(key, this->members.previous.empty() ? this->members.current : this->members.previous);
+    return std::find(before.begin(), before.end(), this->options.edge) != before.end();
+}
+
+std::size_t ledger_replica::entry_count() const noexcept {
+    return this->entries.size();
+}
+
+std::size_t ledger_replica::answer_bytes() const noexcept {
+    return this->body_bytes;
+}
+
+std::int64_t ledger_replica::unix_ms(time_point now) const noexcept {
+    return now.time_since_epoch().count() + this->options.unix_offset_ms;
+}
+
+std::vector<ledger_message> ledger_replica::receive(time_point now, const std::string& from,
+                                                    const ledger_message_body& body) {
+    try {
+        if (const auto* claim_body = std::get_if<wire::claim_request_t>(&body)) {
+            return this->on_claim(now, from, *claim_body);
+        }
+        if (const auto* completion = std::get_if<wire::complete_request_t>(&body)) {
+            return this->on_complete(now, from, *completion);
+        }
+        if (const auto* abort = std::get_if<wire::abort_request_t>(&body)) {
+            return this->on_abort(now, from, *abort);
+        }
+        if (const auto* page = std::get_if<wire::ledger_sync_request_t>(&body)) {
+            return page->replica == from ? this->on_sync_request(now, *page) : std::vector<ledger_message>{};
+        }
+        if (const auto* reply = std::get_if<wire::ledger_sync_reply_t>(&body)) {
+            return reply->replica == from ? this->on_sync_reply(now, *reply) : std::vector<ledger_message>{};
+        }
+    } catch (const uuid_error&) {
+        return {};  // a peer of another version sent a key that no caller can have
+    }
+    return {};
+}
+
+std::vector<ledger_message> ledger_replica::tick(time_point now) {
+    this->expire(now);
+    if (now - this->started_at >= ledger_retention) {
+        this->complete = this->complete || now - this->copy_from >= ledger_retention;
+    }
+    std::vector<ledger_message> out;
+    if (this->complete || now < this->copy_from) {
+        return out;
+    }
+    for (auto& [peer, progress] : this->copies) {
+        if (!progress.done && now >= progress.retry_at) {
+            this->request_page(now, peer, progress, out);
+        }
+    }
+    return out;
+}
+
+void ledger_replica::expire(time_point now) {
+    std::int64_t oldest = this->unix_ms(now) - ledger_retention.count();
+    while (!this->expiry.empty() && this->expiry.begin()->first <= oldest) {
+        auto found = this->entries.find(this->expiry.begin()->second);
+        if (found->second.answer != nullptr) {
+            this->body_bytes -= found->second.answer->body.size();
+        }
+        this->entries.erase(found);
+        this->expiry.erase(this->expiry.begin());
+    }
+}
+
+// ---- 2. Claims, completions and aborts ----
+
+ledger_replica::entry* ledger_replica::find_or_add(time_point now, const std::string& key) {
+    auto found = this->entries.find(key);
+    if (found != this->entries.end()) {
+        return &found->second;
+    }
+    std::int64_t key_time = uuid_v7_time_ms(key);
+    if (!this->accepts_time(now, key_time) || !this->members.all_of(key).contains(this->options.edge)) {
+        return nullptr;
+    }
+    auto& added = this->entries[key];
+    added.key_time_ms = key_time;
+    this->expiry.insert({key_time, key});
+    return &added;
+}
+
+std::vector<ledger_message> ledger_replica::on_claim(time_point now, const std::string& from,
+                                                     const wire::claim_request_t& request) {
+    if (request.entry == nullptr || request.entry->attempt == nullptr || request.entry->attempt->edge != from) {
+        return {};
+    }
+    const std::string& key = request.entry->key;
+    claim wanted{from_wire(*request.entry->attempt), request.entry->fingerprint};
+    wire::claim_reply_t reply;
+    reply.request_id = request.request_id;
+    reply.key = key;
+    reply.replica = this->options.edge;
+    reply.incarnation = this->options.incarnation;
+    reply.result = wire::claim_result::not_voting;
+    bool votes = this->votes_on(now, key);
+    auto known = this->entries.find(key);
+    entry* found = known != this->entries.end() ? &known->second : nullptr;
+    if (votes) {
+        found = this->find_or_add(now, key);
+        reply.result = decide_claim(wanted, *found);
+        if (reply.result == wire::claim_result::granted && found->service.empty()) {
+            found->service = request.entry->service;
+            found->fingerprint = wanted.fingerprint;
+        }
+        if (reply.result == wire::claim_result::granted && found->claims.empty()) {
+            found->claims.push_back(wanted);
+        }
+    }
+    if (found != nullptr) {
+        auto entries = this->to_wire(now, key, *found);
+        auto other = std::find_if(entries.begin(), entries.end(), [&](const wire::ledger_entry_t& entry) {
+            return from_wire(*entry.attempt) != wanted.attempt;
+        });
+        auto& shown = other == entries.end() ? entries.front() : *other;
+        if (reply.result == wire::claim_result::granted) {
+            shown.fingerprint = found->fingerprint;
+        }
+        reply.entry = std::make_unique<wire::ledger_entry_t>(shown);
+    }
+    return {{from, std::move(reply)}};
+}
+
+// Compare-and-set: an attempt is granted only when no other attempt holds the key.
+wire::claim_result ledger_replica::decide_claim(const claim& wanted, const entry& found) {
+    bool other = std::any_of(found.claims.begin(), found.claims.end(),
+                             [&](const claim& held) { return held.attempt != wanted.attempt; });
+    if (found.decided || other || found.aborted == wanted.attempt) {
+        return wire::claim_result::exists;
+    }
+    return wire::claim_result::granted;
+}
+
+std::vector<ledger_message> ledger_replica::on_complete(time_point now, const std::string& from,
+                                                        const wire::complete_request_t& request) {
+    if (request.attempt == nullptr) {
+        return {};
+    }
+    entry* found = this->find_or_add(now, request.key);
+    claim attempt{from_wire(*request.attempt), request.fingerprint};
+    if (found != nullptr && found->aborted != attempt.attempt) {
+        found->service = request.service;
+        this->decide(*found, attempt,
+                     request.answer == nullptr ? nullptr : std::make_shared<wire::stored_answer_t>(*request.answer));
+    }
+    return {{from, confirmation(request.key, *request.attempt, wire::attempt_state::completed)}};
+}
+
+// Only the attempt that was decided first can change its own entry, from uncertain to completed.
+void ledger_replica::decide(entry& found, const claim& attempt, std::shared_ptr<const wire::stored_answer_t> answer) {
+    if (found.decided && (found.decided->attempt != attempt.attempt || found.answer != nullptr)) {
+        return;
+    }
+    found.decided = attempt;
+    found.fingerprint = attempt.fingerprint;
+    found.claims.clear();
+    found.answer = std::move(answer);
+    if (found.answer != nullptr) {
+        this->body_bytes += found.answer->body.size();
+    }
+}
+
+std::vector<ledger_message> ledger_replica::on_abort(time_point now, const std::string& from,
+                                                     const wire::abort_request_t& request) {
+    if (request.attempt == nullptr) {
+        return {};
+    }
+    auto attempt = from_wire(*request.attempt);
+    entry* found = this->find_or_add(now, request.key);
+    if (found != nullptr && !(found->decided && found->decided->attempt == attempt)) {
+        std::erase_if(found->claims, [&](const claim& held) { return held.attempt == attempt; });
+        found->aborted = attempt;
+        if (request.refused_ms_ago >= 0) {
+            refusal reported{attempt, now - ms(request.refused_ms_ago)};
+            if (!found->refused || found->refused->at < reported.at) {
+                found->refused = reported;
+            }
+        }
+    }
+    return {{from, confirmation(request.key, *request.attempt, wire::attempt_state::aborted)}};
+}
+
+// One entry for each live claim; one when there is none.
+std::vector<wire::ledger_entry_t> ledger_replica::to_wire(time_point now, const std::string& key,
+                                                          const entry& value) const {
+    wire::ledger_entry_t common;
+    common.key = key;
+    common.service = value.service;
+    common.fingerprint = value.fingerprint;
+    common.key_time_ms = value.key_time_ms;
+    if (value.refused) {
+        common.refused_by = persimmongrade::to_wire(value.refused->attempt);
+        common.refused_ms_ago = (now - value.refused->at).count();
+    }
+    std::vector<wire::ledger_entry_t> all;
+    auto add = [&](const ledger_attempt& attempt, std::uint64_t fingerprint, wire::ledger_state state) {
+        all.push_back(common);
+        all.back().attempt = persimmongrade::to_wire(attempt);
+        all.back().fingerprint = fingerprint;
+        all.back().state = state;
+    };
+    if (value.decided) {
+        add(value.decided->attempt, value.decided->fingerprint,
+            value.answer == nullptr ? wire::ledger_state::uncertain : wire::ledger_state::completed);
+        all.back().answer = copy_of(value.answer);
+        return all;
+    }
+    for (const auto& held : value.claims) {
+        add(held.attempt, held.fingerprint, wire::ledger_state::claimed);
+    }
+    if (all.empty()) {
+        add(value.aborted.value_or(ledger_attempt{}), value.fingerprint, wire::ledger_state::aborted);
+    }
+    return all;
+}
+
+// ---- 3. Copying after a restart ----
+
+std::vector<ledger_message> ledger_replica::on_sync_request(time_point now,
+                                                            const wire::ledger_sync_request_t& request) const {
+    wire::ledger_sync_reply_t reply;
+    reply.request_id = request.request_id;
+    reply.replica = this->options.edge;
+    reply.incarnation = this->options.incarnation;
+    reply.voting = this->members.hash() == request.members_hash &&
+                   (this->complete || (this->complete_before && !this->members.previous.empty()));
+    reply.done = true;
+    reply.last_key = request.after_key;
+    if (!reply.voting) {
+        return {{request.replica, std::move(reply)}};
+    }
+    std::size_t bytes = 0;
+    for (auto at = this->entries.upper_bound(request.after_key); at != this->entries.end(); ++at) {
+        const auto& [key, value] = *at;
+        if (!this->members.all_of(key).contains(request.replica)) {
+            continue;
+        }
+        if (reply.entries.size() >= this->options.page_entries || bytes >= this->options.page_bytes) {
+            reply.done = false;
+            break;
+        }
+        for (auto& entry : this->to_wire(now, key, value)) {
+            reply.entries.push_back(std::make_unique<wire::ledger_entry_t>(std::move(entry)));
+        }
+        bytes += value.answer == nullptr ? 0 : value.answer->body.size();
+        reply.last_key = key;
+    }
+    return {{request.replica, std::move(reply)}};
+}
+
+std::vector<ledger_message> ledger_replica::on_sync_reply(time_point now, const wire::ledger_sync_reply_t& reply) {
+    auto found = this->copies.find(reply.replica);
+    if (this->complete || found == this->copies.end() || reply.request_id != found->second.request_id ||
+        reply.request_id == 0) {
+        return {};
+    }
+    auto& progress = found->second;
+    bool restarted = !progress.after_key.empty() && reply.incarnation != progress.incarnation;
+    if (!reply.voting || restarted) {
+        progress = {};
+        progress.retry_at = now + copy_retry;
+        return {};
+    }
+    for (const auto& entry : reply.entries) {
+        this->merge(now, *entry);
+    }
+    progress.incarnation = reply.incarnation;
+    progress.after_key = reply.last_key;
+    progress.request_id = 0;
+    progress.done = reply.done;
+    std::vector<ledger_message> out;
+    if (!progress.done) {
+        this->request_page(now, reply.replica, progress, out);
+    }
+    this->complete =
+        std::all_of(this->copies.begin(), this->copies.end(), [](const auto& copy) { return copy.second.done; });
+    return out;
+}
+
+void ledger_replica::request_page(time_point now, const std::string& peer, copy_progress& progress,
+                                  std::vector<ledger_message>& out) {
+    progress.request_id = ++this->last_request_id;
+    progress.retry_at = now + page_timeout;
+    wire::ledger_sync_request_t request;
+    request.request_id = progress.request_id;
+    request.replica = this->options.edge;
+    request.incarnation = this->options.incarnation;
+    request.after_key = progress.after_key;
+    request.members_hash = this->members.hash();
+    out.push_back({peer, std::move(request)});
+}
+
+// The members copied from may hold claims of different attempts. All are kept, because any of them may be on a
+// majority; the key is granted again only when each is known to be aborted.
+void ledger_replica::merge(time_point now, const wire::ledger_entry_t& incoming) {
+    if (incoming.attempt == nullptr) {
+        return;
+    }
+    entry* found = this->find_or_add(now, incoming.key);
+    if (found == nullptr) {
+        return;
+    }
+    claim attempt{from_wire(*incoming.attempt), incoming.fingerprint};
+    if (found->service.empty()) {
+        found->service = incoming.service;
+        found->fingerprint = incoming.fingerprint;
+    }
+    if (incoming.refused_by != nullptr && incoming.refused_ms_ago >= 0) {
+        refusal reported{from_wire(*incoming.refused_by), now - ms(incoming.refused_ms_ago)};
+        if (!found->refused || found->refused->at < reported.at) {
+            found->refused = reported;
+        }
+    }
+    if (incoming.state == wire::ledger_state::completed || incoming.state == wire::ledger_state::uncertain) {
+        this->decide(*found, attempt,
+                     incoming.answer == nullptr ? nullptr : std::make_shared<wire::stored_answer_t>(*incoming.answer));
+        return;
+    }
+    bool held = std::any_of(found->claims.begin(), found->claims.end(),
+                            [&](const claim& other) { return other.attempt == attempt.attempt; });
+    if (incoming.state == wire::ledger_state::claimed && !held && !found->decided &&
+        found->aborted != attempt.attempt) {
+        found->claims.push_back(attempt);
+    }
+    if (incoming.state == wire::ledger_state::aborted && !found->aborted) {
+        found->aborted = attempt.attempt;
+    }
+}
+
+}  // namespace persimmongrade
