--- a/src/edge/admission.cpp
+++ b/src/edge/admission.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::uint64_t start_line_bytes = 64;        // request or status line, length and connection headers
+constexpr std::uint64_t start_line_bytes = 64;       // request or status line, length and connection headers
 constexpr std::uint64_t header_separator_bytes = 4;  // ": " and line end
 
 }  // namespace
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -18,6 +18,7 @@
 
 constexpr duration ping_period = ms(250);
 constexpr duration maintenance_period = ms(250);
+constexpr duration queue_period = ms(5);  // rate limits free capacity without an event
 constexpr duration stop_check_period = ms(20);
 
 }  // namespace
@@ -48,6 +49,7 @@
         this->connect(this->settings.control);
         this->connect(this->settings.edges);
         this->timers.push_back(loop.every(ping_period, [this] { this->ping(); }));
+        this->timers.push_back(loop.every(queue_period, [this] { this->edge.retry_waiting(); }));
         this->timers.push_back(loop.every(maintenance_period, [this] { this->maintain_targets(); }));
     }
 
@@ -87,7 +89,9 @@
         for (wire::target_outstanding_t& entry : this->edge.targets.all_outstanding()) {
             ping.outstanding.push_back(std::make_unique<wire::target_outstanding_t>(std::move(entry)));
         }
-        this->perform(this->edge.config.ping(this->loop.now(), std::move(ping)));
+        time_point now = this->loop.now();
+        this->edge.leases.prepare(ping, now);
+        this->perform(this->edge.config.ping(now, std::move(ping)));
     }
 
     void perform(config_actions actions) {
@@ -96,6 +100,7 @@
         }
         if (actions.applied) {
             this->edge.index = std::make_shared<const configuration_index>(this->edge.config.configuration());
+            this->edge.leases.apply(this->edge.index->configuration(), this->loop.now());
             this->edge.targets.set_drains(this->loop.now(), this->edge.index->drained_targets());
             log_info("configuration applied", field("revision", this->edge.config.revision()));
         }
@@ -114,6 +119,7 @@
         switch (body.type) {
         case wire::message::edge_pong: {
             config_actions actions = this->edge.config.receive(now, envelope.from, *body.Asedge_pong());
+            this->edge.leases.receive(*body.Asedge_pong(), now);
             if (actions.pong_accepted) {
                 wire::edge_pong_t pong(*body.Asedge_pong());
                 this->live_edges = std::move(pong.edges);
--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -24,10 +24,9 @@
 
 execution::execution(edge_context& edge, execution_order order, callback on_done)
     : edge(edge), order(std::move(order)), on_done(std::move(on_done)),
-      regions(choose_regions(*this->order.service,
-                             this->order.index->assignment(this->order.service->name, this->order.caller_region),
-                             edge.settings.region, edge.latency_ms,
-                             static_cast<std::uint32_t>(edge.random() % weight_scale))) {
+      regions(choose_regions(
+          *this->order.service, this->order.index->assignment(this->order.service->name, this->order.caller_region),
+          edge.settings.region, edge.latency_ms, static_cast<std::uint32_t>(edge.random() % weight_scale))) {
     ++this->edge.running_requests;
 }
 
@@ -101,8 +100,8 @@
 }
 
 void execution::refuse_without_target() {
-    bool elsewhere = this->edge.targets.pick(this->edge.loop.now(), this->order.service->name, this->regions.retries)
-                         .has_value();
+    bool elsewhere =
+        this->edge.targets.pick(this->edge.loop.now(), this->order.service->name, this->regions.retries).has_value();
     if (elsewhere) {
         this->refuse(wire::refusal_reason::shift_limit, wire::outcome::not_run,
                      "the assigned region has no live target, and the shift cap leaves no share elsewhere",
@@ -147,8 +146,8 @@
     this->dispatched_at = this->edge.loop.now();
     this->edge.targets.started(this->target->service, this->target->id);
     auto self = this->shared_from_this();
-    this->running_call = this->edge.client.send(
-        this->call_for(*this->target), [self](http_call_result result) { self->receive(std::move(result)); });
+    this->running_call = this->edge.client.send(this->call_for(*this->target),
+                                                [self](http_call_result result) { self->receive(std::move(result)); });
     if (this->order.service->idempotent) {
         duration patience = (this->order.deadline - this->dispatched_at) / attempt_share_divisor;
         this->attempt_timer = this->edge.loop.after(patience, [self] { self->attempt_timed_out(); });
@@ -273,6 +272,8 @@
     if (!this->target) {
         return;
     }
+    bool proved_not_run = result == target_result::connect_failed || result == target_result::shed;
+    this->may_have_run = this->may_have_run || !proved_not_run;
     this->edge.loop.cancel(this->attempt_timer);
     time_point now = this->edge.loop.now();
     this->edge.targets.finished(now, this->target->service, this->target->id, {result, now - this->dispatched_at});
@@ -282,9 +283,9 @@
 }
 
 void execution::note_lost_connection() {
-    this->edge.send_notices(this->edge.crashes.connection_lost(
-        this->edge.loop.now(),
-        {this->order.service->name, this->order.fingerprint, this->target->id, this->target->region}));
+    this->edge.send_notices(
+        this->edge.crashes.connection_lost(this->edge.loop.now(), {this->order.service->name, this->order.fingerprint,
+                                                                   this->target->id, this->target->region}));
 }
 
 void execution::note_absent_target() {
@@ -301,12 +302,14 @@
         this->running_call = 0;
         this->release(target_result::timeout);
     }
-    this->refuse(wire::refusal_reason::deadline_exceeded,
-                 dispatched ? wire::outcome::unknown : wire::outcome::not_run,
+    this->refuse(wire::refusal_reason::deadline_exceeded, dispatched ? wire::outcome::unknown : wire::outcome::not_run,
                  "the deadline passed before an answer arrived");
 }
 
 void execution::refuse(wire::refusal_reason reason, wire::outcome outcome, std::string message, duration retry_after) {
+    if (this->may_have_run && outcome == wire::outcome::not_run) {
+        outcome = wire::outcome::unknown;  // an earlier attempt was dispatched
+    }
     this->end({std::nullopt, {reason, outcome, std::move(message), retry_after}});
 }
 
--- a/src/edge/execution.h
+++ b/src/edge/execution.h
@@ -65,7 +65,8 @@
     void receive(http_call_result result);
     void receive_answer(http_response response);
     void fail(wire::retry_reason reason, const refusal& refused, bool proved_not_run);
-    bool retry(wire::retry_reason reason, wire::refusal_reason otherwise, bool proved_not_run, retry_decision& decision);
+    bool retry(wire::retry_reason reason, wire::refusal_reason otherwise, bool proved_not_run,
+               retry_decision& decision);
     void release(target_result result, std::uint64_t answer_bytes = 0);
     void note_lost_connection();
     void note_absent_target();
@@ -89,6 +90,7 @@
     admission_ticket ticket;              // of the running call
     time_point dispatched_at{};
     std::vector<std::string> tried;
+    bool may_have_run = false;  // an attempt was dispatched and not proved not to have run
     bool ended = false;
 };
 
--- a/src/edge/forwarded_headers.cpp
+++ b/src/edge/forwarded_headers.cpp
@@ -9,9 +9,19 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 13> hop_headers{
-    "connection", "content-length", "date", "expect", "host", "keep-alive", "persimmon-deadline-ms",
-    "proxy-connection", "server", "te", "trailer", "transfer-encoding", "upgrade"};
+constexpr std::array<std::string_view, 13> hop_headers{"connection",
+                                                       "content-length",
+                                                       "date",
+                                                       "expect",
+                                                       "host",
+                                                       "keep-alive",
+                                                       "persimmon-deadline-ms",
+                                                       "proxy-connection",
+                                                       "server",
+                                                       "te",
+                                                       "trailer",
+                                                       "transfer-encoding",
+                                                       "upgrade"};
 
 }  // namespace
 
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "forwarded_request.h"
+#include "persimmongrade/error.h"
 
 namespace persimmongrade {
 
@@ -13,8 +13,17 @@
 
 constexpr std::string_view path_prefix = "/s/";
 
+// A request is malformed or names nothing known.
+class refused_error : public error {
+public:
+    explicit refused_error(refusal refused) : error(refused.message), refused(std::move(refused)) {}
+
+    const refusal refused;
+};
+
+// The outcome is `none`: an earlier request with the same idempotency key may have run.
 refusal bad_request(std::string message) {
-    return {wire::refusal_reason::bad_request, wire::outcome::not_run, std::move(message)};
+    return {wire::refusal_reason::bad_request, wire::outcome::none, std::move(message)};
 }
 
 // Reads persimmon-deadline-ms. Throws refused_error.
@@ -41,27 +50,52 @@
 
 void forwarder::handle(http_request request, std::shared_ptr<http_exchange> exchange) {
     try {
-        std::string_view rest = std::string_view(request.path).substr(path_prefix.size());
-        std::size_t slash = rest.find('/');
-        std::string service_name(rest.substr(0, slash));
-        const wire::service_definition_t* service = this->edge.index->service(service_name);
-        if (service == nullptr) {
-            throw refused_error({wire::refusal_reason::unknown_service, wire::outcome::not_run,
-                                 "no record declares service '" + service_name + "'"});
-        }
-        if (request.body.size() > service->max_request_bytes) {
-            throw refused_error({wire::refusal_reason::request_too_large, wire::outcome::not_run,
-                                 "the body exceeds " + std::to_string(service->max_request_bytes) + " bytes"});
-        }
-        duration deadline = read_deadline(request);
-        request.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
-        forward_order order{this->edge.index, service, std::move(request), exchange, deadline};
-        order.fingerprint = content_fingerprint(order.request);
-        order.caller_region = this->edge.settings.region;
-        std::make_shared<forwarded_request>(this->edge, std::move(order))->start();
+        execution_order order = this->read(std::move(request));
+        order.service->idempotent ? this->forward(std::move(order), std::move(exchange))
+                                  : this->forward_once(std::move(order), std::move(exchange));
     } catch (const refused_error& reason) {
         this->edge.refuse(*exchange, reason.refused);
     }
 }
 
+execution_order forwarder::read(http_request request) const {
+    std::string_view rest = std::string_view(request.path).substr(path_prefix.size());
+    std::size_t slash = rest.find('/');
+    std::string service_name(rest.substr(0, slash));
+    execution_order order;
+    order.index = this->edge.index;
+    order.service = order.index->service(service_name);
+    if (order.service == nullptr) {
+        throw refused_error({wire::refusal_reason::unknown_service, wire::outcome::none,
+                             "no record declares service '" + service_name + "'"});
+    }
+    if (request.body.size() > order.service->max_request_bytes) {
+        throw refused_error({wire::refusal_reason::request_too_large, wire::outcome::none,
+                             "the body exceeds " + std::to_string(order.service->max_request_bytes) + " bytes"});
+    }
+    order.deadline = this->edge.loop.now() + read_deadline(request);
+    request.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
+    order.fingerprint = content_fingerprint(request);
+    order.caller_region = this->edge.settings.region;
+    order.request = std::move(request);
+    return order;
+}
+
+void forwarder::forward(execution_order order, std::shared_ptr<http_exchange> exchange) {
+    auto run = std::make_shared<execution>(this->edge, std::move(order), [this, exchange](execution_result result) {
+        exchange->on_close(nullptr);
+        if (result.response) {
+            exchange->respond(std::move(*result.response));
+            return;
+        }
+        this->edge.refuse(*exchange, result.refused);
+    });
+    exchange->on_close([run] { run->cancel(); });
+    run->start();
+}
+
+void forwarder::forward_once(execution_order order, std::shared_ptr<http_exchange> exchange) {
+    this->forward(std::move(order), std::move(exchange));
+}
+
 }  // namespace persimmongrade
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "edge_context.h"
+#include "execution.h"
 #include "persimmongrade/http_server.h"
 
 namespace persimmongrade {
@@ -20,6 +21,10 @@
     void handle(http_request request, std::shared_ptr<http_exchange> exchange);
 
 private:
+    execution_order read(http_request request) const;
+    void forward(execution_order order, std::shared_ptr<http_exchange> exchange);
+    void forward_once(execution_order order, std::shared_ptr<http_exchange> exchange);
+
     edge_context& edge;
 };
 
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -59,6 +59,7 @@
         }
         wire::edge_pong_t pong;
         pong.sequence = ping.sequence;
+        pong.incarnation = ping.incarnation;
         pong.leader = "control-1";
         pong.term = 1;
         pong.committed_revision = this->configuration.revision;
@@ -163,7 +164,9 @@
         REQUIRE(condition());
     }
 
-    ip_address http_address(std::size_t edge = 0) const { return ip_address::parse(this->settings[edge]->http_address); }
+    ip_address http_address(std::size_t edge = 0) const {
+        return ip_address::parse(this->settings[edge]->http_address);
+    }
 
     http_response call(const std::string& method, const std::string& target, std::vector<http_header> headers = {},
                        std::string body = "", std::size_t edge = 0) {
