--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -283,6 +283,7 @@
         time_point claimed_at{};
     };
 
+    bool permitted(time_point now, floor_use use) const noexcept;
     share& share_of(const resource& subject, time_point now);
     void configure(const resource& subject, share& entry, time_point now);
     static double lease_amount(const share& entry, time_point now) noexcept;
--- a/src/limits/lease_holder.cpp
+++ b/src/limits/lease_holder.cpp
@@ -171,15 +171,21 @@
     return now < this->configuration_until;
 }
 
+// Without any configuration no limit is known, therefore nothing may be used.
+bool lease_holder::permitted(time_point now, floor_use use) const noexcept {
+    bool without = use == floor_use::without_configuration && this->limits.revision() > 0;
+    return without || this->configuration_valid(now);
+}
+
 double lease_holder::lease_amount(const share& entry, time_point now) noexcept {
     return now < entry.granted.expires_at ? entry.granted.amount : 0;
 }
 
 double lease_holder::usable(const resource& subject, time_point now, floor_use use) const {
-    bool valid = this->configuration_valid(now);
-    if (!valid && use == floor_use::with_configuration) {
+    if (!this->permitted(now, use)) {
         return 0;
     }
+    bool valid = this->configuration_valid(now);
     auto position = this->shares.find(subject);
     if (position == this->shares.end()) {
         return this->limits.floor(this->edges, this->edge, subject);
@@ -241,7 +247,7 @@
 reservation_result lease_holder::reserve(std::span<const resource_claim> claims, time_point now, floor_use use,
                                          bool repeated) {
     reservation_result result;
-    if (!this->configuration_valid(now) && use == floor_use::with_configuration) {
+    if (!this->permitted(now, use)) {
         result.refused = wire::refusal_reason::configuration_lease_expired;
         return result;
     }
--- /dev/null
+++ b/tests/limits/test_limits.cpp
@@ -0,0 +1,494 @@
+// Guards the sum of leases and floors, the admitted rate in every window of 1 s, and the use of slots, under lost,
+// delayed and duplicated messages, partitions, leader changes, pauses, restarts, lowered limits and clocks within 1%.
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <functional>
+#include <random>
+
+#include "persimmongrade/capacity_lease.h"
+#include "persimmongrade/rate_limiter.h"
+
+using namespace persimmongrade;
+
+namespace {
+
+const resource region = region_resource("north");
+const resource link_bytes = link_resource("north", "south");
+const resource slots = slots_resource("desk", "t1");
+
+wire::configuration_t make_configuration(std::uint64_t revision, double rate, double mbit, std::uint32_t slot_count,
+                                         wire::without_control_policy policy = wire::without_control_policy::refuse) {
+    wire::configuration_t result;
+    result.revision = revision;
+    auto& record = result.records.emplace_back(std::make_unique<wire::steering_record_t>());
+    auto& service = record->services.emplace_back(std::make_unique<wire::service_definition_t>());
+    service->name = "desk";
+    service->slots_per_target = slot_count;
+    service->without_control = policy;
+    auto& limit = record->regions.emplace_back(std::make_unique<wire::region_limit_t>());
+    limit->region = "north";
+    limit->max_requests_per_second = rate;
+    auto& link_limit = record->links.emplace_back(std::make_unique<wire::link_limit_t>());
+    link_limit->from = "north";
+    link_limit->to = "south";
+    link_limit->max_mbit_per_second = mbit;
+    return result;
+}
+
+std::vector<std::string> edge_names(std::size_t count) {
+    std::vector<std::string> result;
+    for (std::size_t i = 0; i < count; ++i) {
+        result.push_back("edge-" + std::to_string(i));
+    }
+    return result;
+}
+
+std::uint64_t any_seed() {
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
+}
+
+std::size_t any_edge_count() {
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::size_t>(2, 8));
+}
+
+struct world_options {
+    std::size_t edges = 4;
+    bool faults = true;  // loss, delay, duplication, partitions, leader changes, pauses
+    bool limits_change = false;
+    bool restarts = false;  // of edges; their requests in flight end with them
+    wire::without_control_policy policy = wire::without_control_policy::refuse;
+    std::int64_t length_ms = 6000;
+};
+
+struct process_clock {
+    double rate = 1;
+    std::int64_t offset = 0;
+    time_point at(std::int64_t t) const {
+        return time_point(ms(this->offset + static_cast<std::int64_t>(static_cast<double>(t) * this->rate)));
+    }
+};
+
+struct edge_process {
+    std::unique_ptr<lease_holder> holder;
+    process_clock clock;
+    std::uint64_t incarnation = 1;
+    std::int64_t paused_until = 0;
+    std::int64_t cut_until = 0;
+    std::int64_t next_ping = 0;
+    double demand = 0;  // per second
+    double backlog = 0;
+};
+
+struct control_process {
+    std::unique_ptr<lease_granter> granter;
+    process_clock clock;
+    std::int64_t paused_until = 0;
+};
+
+struct admission {
+    std::int64_t at = 0;
+    double amount = 0;
+};
+
+// A small cluster in simulated time: edges, three control processes of which one leads, and a faulty network.
+class lease_world {
+public:
+    lease_world(world_options options, std::uint64_t seed) : options(options), random(seed) {
+        this->lease.concurrency_hold = ms(1500);
+        this->names = edge_names(options.edges);
+        for (const auto& name : this->names) {
+            edge_process& edge = this->edges.emplace_back();
+            edge.clock = this->any_clock();
+            edge.holder = std::make_unique<lease_holder>(name, this->names, this->lease);
+        }
+        for (int i = 0; i < 3; ++i) {
+            this->controls.push_back({nullptr, this->any_clock(), 0});
+            this->controls.back().granter = std::make_unique<lease_granter>(this->names, this->lease);
+        }
+        this->commit();
+    }
+
+    void run() {
+        while (this->now < this->options.length_ms) {
+            this->now += this->pick(1, 7);
+            this->deliver();
+            if (this->options.faults) {
+                this->inject_faults();
+            }
+            this->elect();
+            for (std::size_t i = 0; i < this->edges.size(); ++i) {
+                this->step_edge(i);
+            }
+            this->check_sums();
+        }
+        if (!this->options.limits_change) {
+            check_windows(this->requests, 400);
+            check_windows(this->bytes, 8e6);
+        }
+    }
+
+    void extend(std::int64_t length_ms) { this->options.length_ms += length_ms; }
+
+    static void check_windows(const std::vector<admission>& admitted, double limit) {
+        double sum = 0;
+        std::size_t first = 0;
+        for (const auto& entry : admitted) {
+            sum += entry.amount;
+            while (admitted[first].at <= entry.at - 1000) {
+                sum -= admitted[first++].amount;
+            }
+            RC_ASSERT(sum <= limit * (1 + 1e-9));
+        }
+    }
+
+    std::vector<edge_process> edges;
+    std::int64_t now = 0;
+    std::int64_t pick(std::int64_t low, std::int64_t high) {
+        return low + static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(high - low + 1));
+    }
+    std::vector<admission> requests;
+    std::vector<admission> bytes;
+
+private:
+    bool chance(double probability) { return static_cast<double>(this->random() % 1000000) < probability * 1e6; }
+
+    process_clock any_clock() {
+        double skew = this->options.faults ? 0.005 * (static_cast<double>(this->pick(-100, 100)) / 100) : 0;
+        return {1 + skew, this->pick(1000, 100000)};
+    }
+
+    void commit() {
+        std::uint64_t revision = this->revisions.size() + 1;
+        bool change = this->options.limits_change;
+        double rate = change ? static_cast<double>(this->pick(1, 20)) * 50 : 400;
+        double mbit = change ? static_cast<double>(this->pick(4, 200)) : 64;
+        this->revisions.push_back(make_configuration(revision, rate, mbit, 9, this->options.policy));
+        this->tables.emplace_back(this->revisions.back());
+        for (std::size_t i = 0; i < this->controls.size(); ++i) {
+            std::int64_t lag = static_cast<int>(i) == this->leader || revision == 1 ? 0 : this->pick(0, 400);
+            this->network.emplace(this->now + lag, [this, i, revision] { this->apply_control(i, revision); });
+        }
+        for (std::size_t i = 0; i < this->edges.size(); ++i) {
+            this->push_configuration(i, revision);
+        }
+        this->deliver();
+    }
+
+    void apply_control(std::size_t i, std::uint64_t revision) {
+        control_process& control = this->controls[i];
+        for (std::uint64_t r = control.granter->revision() + 1; r <= revision; ++r) {
+            control.granter->apply(this->revisions[r - 1], control.clock.at(this->now));
+        }
+    }
+
+    void push_configuration(std::size_t i, std::uint64_t revision) {
+        this->send(i, [this, i, revision] {
+            this->edges[i].holder->apply(this->revisions[revision - 1], this->edges[i].clock.at(this->now));
+        });
+    }
+
+    // Sends to or from edge i.
+    void send(std::size_t i, std::function<void()> action) {
+        bool faulty = this->options.faults;
+        int copies = !faulty ? 1 : this->chance(0.15) ? 0 : this->chance(0.1) ? 2 : 1;
+        for (int k = 0; k < copies; ++k) {
+            std::int64_t delay = faulty && this->chance(0.2) ? this->pick(1, 1500) : this->pick(1, 30);
+            this->network.emplace(this->now + delay, [this, i, action] {
+                edge_process& edge = this->edges[i];
+                if (edge.cut_until > this->now) {
+                    return;
+                }
+                if (edge.paused_until > this->now) {
+                    this->network.emplace(edge.paused_until, action);
+                } else {
+                    action();
+                }
+            });
+        }
+    }
+
+    void deliver() {
+        while (!this->network.empty() && this->network.begin()->first <= this->now) {
+            auto action = this->network.begin()->second;
+            this->network.erase(this->network.begin());
+            action();
+        }
+    }
+
+    void inject_faults() {
+        if (this->options.limits_change && this->leader >= 0 && this->now < this->leader_until && this->chance(0.01)) {
+            this->commit();
+        }
+        if (this->chance(0.002) && this->leader_until > this->now + 200) {
+            this->leader_until = this->now + this->pick(0, 200);
+        }
+        for (auto& edge : this->edges) {
+            if (this->chance(0.001)) {
+                edge.paused_until = this->now + this->pick(50, 3000);
+            }
+            if (this->chance(0.001)) {
+                edge.cut_until = this->now + this->pick(100, 4000);
+            }
+        }
+        auto& control = this->controls[static_cast<std::size_t>(this->pick(0, 2))];
+        if (this->chance(0.001)) {
+            control.paused_until = this->now + this->pick(50, 1500);
+        }
+        for (std::size_t i = 0; this->options.restarts && i < this->edges.size(); ++i) {
+            if (this->chance(0.0007)) {
+                this->edges[i].holder = std::make_unique<lease_holder>(this->names[i], this->names, this->lease);
+                this->edges[i].incarnation += 1;
+                this->push_configuration(i, this->revisions.size());
+            }
+        }
+    }
+
+    // A process leads only after its predecessor's leader lease ended; it has applied everything committed.
+    void elect() {
+        if (this->now < this->leader_until || this->now < this->election_at) {
+            return;
+        }
+        auto candidate = static_cast<std::size_t>(this->pick(0, 2));
+        control_process& control = this->controls[candidate];
+        if (control.paused_until > this->now) {
+            return;
+        }
+        if (this->leader >= 0) {
+            this->controls[static_cast<std::size_t>(this->leader)].granter->step_down();
+        }
+        if (this->options.faults && this->chance(0.2)) {  // a restarted process reads only the newest configuration
+            control.granter = std::make_unique<lease_granter>(this->names, this->lease);
+            control.granter->apply(this->revisions.back(), control.clock.at(this->now), true);
+        }
+        this->apply_control(candidate, this->revisions.size());
+        control.granter->become_leader(++this->term, control.clock.at(this->now));
+        this->leader = static_cast<int>(candidate);
+        this->leader_until = this->options.length_ms * 2;
+        this->election_at = this->now + this->pick(0, 300);
+    }
+
+    void step_edge(std::size_t i) {
+        edge_process& edge = this->edges[i];
+        if (edge.paused_until > this->now) {
+            return;
+        }
+        if (this->now >= edge.next_ping) {
+            edge.next_ping = this->now + 250;
+            wire::edge_ping_t ping;
+            ping.incarnation = edge.incarnation;
+            edge.holder->prepare(ping, edge.clock.at(this->now));
+            auto message = std::make_shared<wire::edge_ping_t>(std::move(ping));
+            this->send(i, [this, i, message] { this->receive_ping(i, *message); });
+            if (edge.holder->applied_revision() < this->revisions.size()) {
+                this->push_configuration(i, this->revisions.size());
+            }
+        }
+        if (this->options.faults && this->chance(0.003)) {
+            edge.demand = this->chance(0.4) ? 0 : static_cast<double>(this->pick(10, 900));
+        }
+        edge.backlog = std::min(edge.backlog + edge.demand * 0.004, 50.0);
+        for (; edge.backlog >= 1; edge.backlog -= 1) {
+            this->request(i);
+        }
+    }
+
+    floor_use use() const {
+        bool floor = this->options.policy == wire::without_control_policy::floor;
+        return floor ? floor_use::without_configuration : floor_use::with_configuration;
+    }
+
+    void request(std::size_t i) {
+        edge_process& edge = this->edges[i];
+        auto size = static_cast<double>(this->pick(200, 30000));
+        for (const resource_claim& claim : {resource_claim{region, 1}, {link_bytes, size}, {slots, 1}}) {
+            auto result = edge.holder->reserve(std::span(&claim, 1), edge.clock.at(this->now), this->use());
+            if (!result) {
+                continue;
+            }
+            if (claim.subject == region) {
+                this->requests.push_back({this->now, 1});
+            } else if (claim.subject == link_bytes) {
+                this->bytes.push_back({this->now, size});
+            } else {
+                this->network.emplace(this->now + this->pick(1, 1400),
+                                      [this, i, held = result.held, incarnation = edge.incarnation] {
+                                          if (this->edges[i].incarnation == incarnation) {
+                                              this->edges[i].holder->complete(held, this->edges[i].clock.at(this->now));
+                                          }
+                                      });
+            }
+        }
+    }
+
+    void receive_ping(std::size_t i, const wire::edge_ping_t& ping) {
+        if (this->leader < 0 || this->now >= this->leader_until) {
+            return;
+        }
+        control_process& control = this->controls[static_cast<std::size_t>(this->leader)];
+        if (control.paused_until > this->now) {
+            auto again = std::make_shared<wire::edge_ping_t>(ping);
+            this->network.emplace(control.paused_until, [this, i, again] { this->receive_ping(i, *again); });
+            return;
+        }
+        auto pong = std::make_shared<wire::edge_pong_t>(control.granter->answer(ping, control.clock.at(this->now)));
+        this->send(i, [this, i, pong] { this->edges[i].holder->receive(*pong, this->edges[i].clock.at(this->now)); });
+    }
+
+    void check_sums() const {
+        for (const resource* subject : {&region, &link_bytes, &slots}) {
+            double sum = 0;
+            std::uint64_t oldest = this->revisions.size();
+            for (const auto& edge : this->edges) {
+                time_point local = edge.clock.at(this->now);
+                double usable = edge.holder->usable(*subject, local, this->use());
+                sum += std::max(usable, edge.holder->in_use(*subject));
+                oldest = usable > 0 ? std::min(oldest, edge.holder->applied_revision()) : oldest;
+            }
+            double limit = 0;
+            for (std::uint64_t r = std::max<std::uint64_t>(oldest, 1); r <= this->revisions.size(); ++r) {
+                limit = std::max(limit, this->tables[r - 1].limit(*subject));
+            }
+            RC_ASSERT(sum <= limit * (1 + 1e-9));
+        }
+    }
+
+    world_options options;
+    lease_options lease;
+    std::mt19937_64 random;
+    std::vector<std::string> names;
+    std::vector<control_process> controls;
+    std::multimap<std::int64_t, std::function<void()>> network;
+    std::vector<wire::configuration_t> revisions;
+    std::vector<limit_table> tables;
+    int leader = -1;
+    std::uint64_t term = 0;
+    std::int64_t leader_until = 0;
+    std::int64_t election_at = 0;
+};
+
+}  // namespace
+
+// Guards against two holders using the same part of a limit, and against a window of 1 s above the limit.
+TEST_CASE("leases and floors never exceed the limit") {
+    rc::prop("constant limits, with faults", [] {
+        auto seed = any_seed();
+        lease_world({.edges = any_edge_count()}, seed).run();
+    });
+    rc::prop("changing limits, with faults and restarts", [] {
+        auto seed = any_seed();
+        world_options options{.limits_change = true, .restarts = true, .length_ms = 9000};
+        if (*rc::gen::arbitrary<bool>()) {
+            options.policy = wire::without_control_policy::floor;
+        }
+        lease_world(options, seed).run();
+    });
+}
+
+// Guards against capacity that stays with an idle edge while another one refuses requests.
+TEST_CASE("the share of an idle edge reaches a busy edge within two leases") {
+    rc::prop("demand moves from one edge to another", [] {
+        auto edges = any_edge_count();
+        auto seed = any_seed();
+        lease_world world({.edges = edges, .faults = false, .length_ms = 4000}, seed);
+        world.edges[0].demand = 900;
+        world.run();
+        double leased = 400 * (1 - rate_floor_fraction);
+        auto usable = [&](std::size_t i, const resource& subject) {
+            return world.edges[i].holder->usable(subject, world.edges[i].clock.at(world.now));
+        };
+        RC_ASSERT(usable(0, region) >= leased * 0.9);
+        world.edges[0].demand = 0;
+        world.edges[1].demand = 900;
+        world.extend(2000);
+        world.run();
+        RC_ASSERT(usable(1, region) >= leased * 0.9);
+        world.extend(1400);  // slots move when the longest request of the idle edge has ended
+        world.run();
+        RC_ASSERT(usable(1, slots) >= 5);
+    });
+}
+
+// Guards against bytes above the limit when sizes are only estimated: the excess in a window is at most the estimation
+// error of the requests under way at its ends.
+TEST_CASE("link bytes stay within the limit and the estimation error") {
+    struct transfer {
+        std::int64_t at;
+        std::int64_t corrected_at;
+        double actual;
+        double error;
+    };
+    rc::prop("estimated sizes corrected later", [] {
+        std::mt19937_64 random(any_seed());
+        const double limit = 1e6;
+        token_bucket bucket;
+        bucket.set_rate(limit, time_point(ms(0)));
+        answer_size_estimator estimator(60000);
+        std::vector<transfer> transfers;
+        std::multimap<std::int64_t, double> corrections;
+        for (std::int64_t t = 0; t < 3000; ++t) {
+            while (!corrections.empty() && corrections.begin()->first <= t) {
+                bucket.correct(corrections.begin()->second, time_point(ms(t)));
+                corrections.erase(corrections.begin());
+            }
+            RC_ASSERT(bucket.tokens() <= bucket.size());
+            auto estimate = static_cast<double>(estimator.estimate());
+            RC_ASSERT(estimate <= 60000);
+            if (random() % 3 != 0 || !bucket.take(estimate, time_point(ms(t)))) {
+                continue;
+            }
+            auto actual = static_cast<double>(random() % 20 == 0 ? 60000 : random() % 20000);
+            auto corrected_at = t + static_cast<std::int64_t>(random() % 300);
+            estimator.observe(static_cast<std::uint64_t>(actual));
+            corrections.emplace(corrected_at, actual - estimate);
+            transfers.push_back({t, corrected_at, actual, std::abs(actual - estimate)});
+        }
+        for (std::int64_t start = 0; start < 2000; start += 20) {
+            std::int64_t end = start + 1000;
+            double sum = 0;
+            double allowed = limit;
+            for (const auto& entry : transfers) {
+                bool across_start = entry.at < start && entry.corrected_at >= start;
+                bool across_end = entry.at < end && entry.corrected_at >= end;
+                sum += entry.at >= start && entry.at < end ? entry.actual : 0;
+                allowed += across_start || across_end ? entry.error : 0;
+            }
+            RC_ASSERT(sum <= allowed);
+        }
+    });
+}
+
+// Guards against a raised rate that admits a burst at once, and against debt that is forgotten.
+TEST_CASE("a raised rate adds no tokens and a debt blocks until paid") {
+    token_bucket bucket;
+    bucket.set_rate(100, time_point(ms(0)));
+    bucket.advance(time_point(ms(1000)));
+    REQUIRE(bucket.tokens() == Approx(5));
+    bucket.set_rate(1000, time_point(ms(1000)));
+    REQUIRE(bucket.tokens() == Approx(5));
+    bucket.correct(52, time_point(ms(1000)));
+    REQUIRE_FALSE(bucket.take(1, time_point(ms(1049))));
+    REQUIRE(bucket.wait(1) == ms(3));
+    REQUIRE(bucket.take(1, time_point(ms(1052))));
+}
+
+// Guards against floors that differ between granter and holder or add up to more than their part of the limit.
+TEST_CASE("standing floors of all edges add up to their part of the limit") {
+    auto configuration = make_configuration(1, 700, 80, 9);
+    auto second = make_configuration(1, 350, 160, 6);
+    configuration.records.push_back(std::move(second.records.front()));
+    auto edges = edge_names(7);
+    std::map<resource, double> sums;
+    for (const auto& edge : edges) {
+        for (const auto& subject : {region, link_bytes, slots}) {
+            sums[subject] += floor_share(configuration, edges, edge, subject);
+        }
+    }
+    REQUIRE(sums[region] == Approx(70));
+    REQUIRE(sums[link_bytes] == Approx(2e6));
+    REQUIRE(sums[slots] == 3);
+    REQUIRE_THROWS_AS(floor_share(configuration, edges, "other", region), unknown_edge_error);
+}
