--- /dev/null
+++ b/tests/request/test_ledger.cpp
@@ -0,0 +1,96 @@
+// Guards at-most-once execution: generated histories of resends, faults and membership changes.
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "ledger_histories.h"
+
+using namespace persimmongrade;
+using namespace persimmongrade::test;
+
+namespace persimmongrade::test {
+
+std::ostream& operator<<(std::ostream& out, const step& value) {
+    return out << "{" << static_cast<int>(value.what) << " +" << value.after_ms << " key " << value.key << " pick "
+               << value.pick << " for " << value.length_ms << "}";
+}
+
+}  // namespace persimmongrade::test
+
+namespace rc {
+
+template <>
+struct Arbitrary<step> {
+    static Gen<step> arbitrary() {
+        using kind = step::kind;
+        return gen::build<step>(gen::set(&step::what, gen::weightedElement<kind>({{12, kind::send},
+                                                                                  {1, kind::send_other},
+                                                                                  {1, kind::kill},
+                                                                                  {3, kind::kill_replica},
+                                                                                  {2, kind::kill_after_repair},
+                                                                                  {1, kind::partition},
+                                                                                  {1, kind::change}})),
+                                gen::set(&step::after_ms, gen::oneOf(gen::inRange(0, 40), gen::inRange(0, 1500))),
+                                gen::set(&step::key, gen::inRange(0, 3)), gen::set(&step::pick, gen::inRange(0, 128)),
+                                gen::set(&step::length_ms, gen::inRange(1, 2500)));
+    }
+};
+
+}  // namespace rc
+
+namespace {
+
+history arbitrary_history() {
+    history plan;
+    plan.seed = *rc::gen::arbitrary<std::uint64_t>();
+    plan.loss_percent = *rc::gen::element(0, 5, 30);
+    plan.duplicate_percent = *rc::gen::element(0, 20);
+    plan.late_percent = *rc::gen::element(0, 10, 30);
+    plan.targets_fail = *rc::gen::arbitrary<bool>();
+    auto length = *rc::gen::inRange<std::size_t>(1, 28);
+    plan.steps = *rc::gen::container<std::vector<step>>(length, rc::gen::arbitrary<step>());
+    return plan;
+}
+
+int histories() {
+    const char* text = std::getenv("PERSIMMONGRADE_HISTORIES");
+    return text == nullptr ? 3000 : std::atoi(text);
+}
+
+}  // namespace
+
+TEST_CASE("no history of resends and faults runs a request twice or makes a refusal false", "[ledger]") {
+    totals sum;
+    auto property = [&sum] {
+        auto plan = arbitrary_history();
+        simulation run(plan);
+        run.run();
+        sum.runs += run.counts.runs;
+        sum.replays += run.counts.replays;
+        sum.waits += run.counts.waits;
+        sum.not_run += run.counts.not_run;
+        sum.unknown += run.counts.unknown;
+        sum.reused += run.counts.reused;
+        sum.fenced += run.counts.fenced;
+        sum.copies += run.counts.copies;
+        if (auto violation = run.violation()) {
+            RC_FAIL(*violation);
+        }
+    };
+    auto params = rc::detail::configuration().testParams;
+    params.maxSuccess = histories();
+    auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata{}, params);
+    std::ostringstream text;
+    rc::detail::printResultMessage(result, text);
+    INFO(text.str());
+    CHECK(result.template is<rc::detail::SuccessResult>());
+    std::cout << "histories " << histories() << ": runs " << sum.runs << ", replays " << sum.replays << ", waits "
+              << sum.waits << ", not_run " << sum.not_run << ", unknown " << sum.unknown << ", key_reused "
+              << sum.reused << ", refused after a not_run " << sum.fenced << ", replicas copied " << sum.copies << "\n";
+    CHECK(std::min({sum.runs, sum.replays, sum.waits, sum.not_run, sum.unknown, sum.reused, sum.fenced, sum.copies}) >
+          0);
+}
