Let the edge work with a control process that grants no leases yet

Run with one control process, one edge and one target: a record accepted by control is applied by the edge, and a request through the edge returns the target's whole answer.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -118,10 +118,13 @@
         const wire::messageUnion& body = envelope.body;
         switch (body.type) {
         case wire::message::edge_pong: {
-            config_actions actions = this->edge.config.receive(now, envelope.from, *body.Asedge_pong());
-            this->edge.leases.receive(*body.Asedge_pong(), now);
+            wire::edge_pong_t pong(*body.Asedge_pong());
+            if (pong.incarnation == 0) {
+                pong.incarnation = this->incarnation;  // until control binds its lease granter
+            }
+            config_actions actions = this->edge.config.receive(now, envelope.from, pong);
             if (actions.pong_accepted) {
-                wire::edge_pong_t pong(*body.Asedge_pong());
+                this->edge.leases.receive(pong, now);
                 this->live_edges = std::move(pong.edges);
             }
             this->perform(std::move(actions));
