Execute non-idempotent requests at most once through the ledger

Each request is claimed before its first dispatch; results are stored and replayed through any edge. Refusals after the claim state what the ledger can prove. A dispatched request whose caller left or whose deadline passed runs on for at most 1 s, so that a resend finds its result.

--- a/daemons/persimmongrade-edge.cpp
+++ b/daemons/persimmongrade-edge.cpp
@@ -15,10 +15,10 @@
 
 constexpr int exit_bad_settings = 2;
 
-int run(const wire::edge_settings_t& settings) {
+int run(const wire::edge_settings_t& settings, edge_options start) {
     event_loop loop;
     metric_registry metrics;
-    edge_server server(loop, settings, metrics);
+    edge_server server(loop, settings, metrics, start);
     loop.on_signal(SIGTERM, [&] { server.stop([&] { loop.stop(); }); });
     log_info("edge started", field("edge", settings.id), field("http_address", settings.http_address));
     loop.run();
@@ -35,7 +35,8 @@
     namespace options = boost::program_options;
     options::options_description description("persimmongrade-edge: answers lookups and forwards requests to targets");
     description.add_options()("help", "print this text")("version", "print the version")(
-        "config", options::value<std::string>(), "settings file (YAML)")("check-config", "check the settings and exit");
+        "config", options::value<std::string>(), "settings file (YAML)")("check-config", "check the settings and exit")(
+        "bootstrap", "first start of a new deployment: the ledger has nothing to copy. Never for a restart");
     try {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -55,7 +56,7 @@
             return 0;
         }
         start_logging(argv[0]);
-        return run(settings);
+        return run(settings, {values.contains("bootstrap")});
     } catch (const options::error& reason) {
         std::cerr << "persimmongrade-edge: " << reason.what() << "\n";
     } catch (const error& reason) {
--- a/include/persimmongrade/config_client.h
+++ b/include/persimmongrade/config_client.h
@@ -25,6 +25,7 @@
 
 struct config_client_options {
     std::string edge;
+    std::uint64_t incarnation = 0;
     std::vector<std::string> control;          // ids of all control processes
     duration leader_silence = ms(350);         // after that the other control processes are pinged as well
     duration full_copy_after = ms(600);        // behind the committed revision for that long: asks for a full copy
--- a/include/persimmongrade/edge_server.h
+++ b/include/persimmongrade/edge_server.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <compare>
 #include <functional>
 #include <memory>
 
@@ -16,10 +17,16 @@
 
 namespace persimmongrade {
 
+struct edge_options {
+    bool first_start = false;  // the deployment never ran before: the ledger has nothing to copy. Unsafe later
+
+    auto operator<=>(const edge_options&) const = default;
+};
+
 class edge_server {
 public:
     // Throws socket_error when an address cannot be bound.
-    edge_server(event_loop& loop, wire::edge_settings_t settings, metric_registry& metrics);
+    edge_server(event_loop& loop, wire::edge_settings_t settings, metric_registry& metrics, edge_options options = {});
     ~edge_server();
     edge_server(const edge_server&) = delete;
     edge_server& operator=(const edge_server&) = delete;
--- a/src/edge/config_client.cpp
+++ b/src/edge/config_client.cpp
@@ -59,6 +59,7 @@
 
 config_actions config_client::ping(time_point now, wire::edge_ping_t content) {
     content.edge = this->options.edge;
+    content.incarnation = this->options.incarnation;
     content.sequence = content.sequence == 0 ? this->last_sequence + 1 : content.sequence;
     content.applied_revision = this->revision();
     this->last_sequence = content.sequence;
@@ -82,7 +83,8 @@
 
 config_actions config_client::receive(time_point now, const std::string& from, const wire::edge_pong_t& pong) {
     auto sent = this->sent_at.find(pong.sequence);
-    bool usable = sent != this->sent_at.end() && this->is_control(from) && pong.term >= this->leader_term;
+    bool usable = sent != this->sent_at.end() && this->is_control(from) && pong.term >= this->leader_term &&
+                  pong.incarnation == this->options.incarnation;
     if (!usable) {
         return {};
     }
--- a/src/edge/edge_context.cpp
+++ b/src/edge/edge_context.cpp
@@ -21,7 +21,7 @@
 edge_context::edge_context(event_loop& loop, const wire::edge_settings_t& settings, metric_registry& metrics,
                            std::uint64_t incarnation)
     : loop(loop), settings(settings), metrics(metrics), refusals(metrics), client(loop),
-      config({settings.id, ids_of(settings.control)}),
+      config({settings.id, incarnation, ids_of(settings.control)}),
       index(std::make_shared<const configuration_index>(std::make_shared<const wire::configuration_t>())),
       leases(settings.id, ids_of(settings.edges)), capacity(settings.region, this->leases),
       targets({selection_method::two_random_choices, incarnation}), random(incarnation) {
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -8,6 +8,7 @@
 #include "announcement.h"
 #include "edge_context.h"
 #include "forwarder.h"
+#include "ledger_service.h"
 #include "persimmongrade/http_server.h"
 #include "persimmongrade/log.h"
 #include "persimmongrade/peer_transport.h"
@@ -29,6 +30,7 @@
     metric_registry& metrics;
     std::uint64_t incarnation = static_cast<std::uint64_t>(unix_time_ms());
     edge_context edge;
+    ledger_service ledger;
     forwarder forwarding;
     peer_transport peers;
     http_server http;
@@ -36,9 +38,11 @@
     std::vector<timer_id> timers;
     std::function<void()> on_stopped;
 
-    impl(event_loop& loop, wire::edge_settings_t initial, metric_registry& metrics)
+    impl(event_loop& loop, wire::edge_settings_t initial, metric_registry& metrics, edge_options options)
         : loop(loop), settings(std::move(initial)), metrics(metrics),
-          edge(loop, this->settings, metrics, this->incarnation), forwarding(this->edge),
+          edge(loop, this->settings, metrics, this->incarnation),
+          ledger(loop, this->settings, this->incarnation, options.first_start, this->ledger_routes()),
+          forwarding(this->edge, this->ledger),
           peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
                 metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
           http(loop, ip_address::parse(this->settings.http_address), {this->settings.max_body_bytes},
@@ -86,6 +90,7 @@
         ping.zone = this->settings.zone;
         ping.http_address = this->settings.http_address;
         ping.peer_address = this->settings.peer_address;
+        ping.ledger_voting = this->ledger.voting();
         for (wire::target_outstanding_t& entry : this->edge.targets.all_outstanding()) {
             ping.outstanding.push_back(std::make_unique<wire::target_outstanding_t>(std::move(entry)));
         }
@@ -143,10 +148,18 @@
             this->send_notices(this->edge.crashes.receive(now, *body.Asquarantine_notice()));
             return;
         default:
+            this->ledger.receive(envelope.from, body);
             return;
         }
     }
 
+    ledger_peers ledger_routes() {
+        auto send = [this](const std::string& to, const ledger_message_body& body) {
+            std::visit([&](const auto& message) { this->peers.send(to, message); }, body);
+        };
+        return {send, [this](const std::string& edge_id) { return this->peers.connected(edge_id); }};
+    }
+
     // ---- Targets ----
 
     void maintain_targets() {
@@ -256,7 +269,7 @@
         this->timers.push_back(this->loop.every(stop_check_period, [this, started] {
             duration elapsed = this->loop.now() - started;
             bool cached_answers_expired = elapsed >= ms(this->settings.lookup_ttl_ms);
-            bool idle = this->edge.running_requests == 0 && this->http.open_exchanges() == 0;
+            bool idle = this->edge.running_requests == 0 && this->http.open_exchanges() == 0 && this->ledger.idle();
             if ((cached_answers_expired && idle) || elapsed >= ms(this->settings.stop_timeout_ms)) {
                 this->on_stopped();
             }
@@ -264,8 +277,9 @@
     }
 };
 
-edge_server::edge_server(event_loop& loop, wire::edge_settings_t settings, metric_registry& metrics)
-    : state(std::make_unique<impl>(loop, std::move(settings), metrics)) {}
+edge_server::edge_server(event_loop& loop, wire::edge_settings_t settings, metric_registry& metrics,
+                         edge_options options)
+    : state(std::make_unique<impl>(loop, std::move(settings), metrics, options)) {}
 
 edge_server::~edge_server() = default;
 
--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -297,6 +297,12 @@
 
 void execution::deadline_passed() {
     bool dispatched = this->running_call != 0;
+    if (dispatched && !this->late && this->order.late_result_time > duration::zero()) {
+        this->late = true;
+        auto self = this->shared_from_this();
+        this->deadline_timer = this->edge.loop.after(this->order.late_result_time, [self] { self->deadline_passed(); });
+        return;
+    }
     if (dispatched) {
         this->edge.client.cancel(this->running_call);
         this->running_call = 0;
--- a/src/edge/execution.h
+++ b/src/edge/execution.h
@@ -27,6 +27,7 @@
     const wire::service_definition_t* service = nullptr;
     http_request request;  // path and query as sent to the target
     time_point deadline{};
+    duration late_result_time{};  // a dispatched call may run that long beyond the deadline
     std::uint64_t fingerprint = 0;
     std::string caller_region;
 };
@@ -91,6 +92,7 @@
     time_point dispatched_at{};
     std::vector<std::string> tried;
     bool may_have_run = false;  // an attempt was dispatched and not proved not to have run
+    bool late = false;          // the deadline passed while a call was running
     bool ended = false;
 };
 
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <charconv>
 
+#include "once_request.h"
 #include "persimmongrade/error.h"
+#include "persimmongrade/uuid.h"
 
 namespace persimmongrade {
 
@@ -40,6 +42,21 @@
     return std::min(ms(value), longest_deadline);
 }
 
+// Reads the idempotency key. Throws refused_error.
+std::string read_key(const http_request& request) {
+    auto text = request.header("idempotency-key");
+    if (!text) {
+        throw refused_error({wire::refusal_reason::idempotency_key_missing, wire::outcome::not_run,
+                             "the service needs an Idempotency-Key header"});
+    }
+    try {
+        return parse_uuid_v7(*text);
+    } catch (const uuid_error&) {
+        throw refused_error({wire::refusal_reason::idempotency_key_invalid, wire::outcome::not_run,
+                             "Idempotency-Key: expected a UUID version 7"});
+    }
+}
+
 // Identifies the content of a request: method, path, query and body.
 std::uint64_t content_fingerprint(const http_request& request) {
     std::string head = request.method + " " + request.path + "?" + request.query + "\n";
@@ -95,7 +112,9 @@
 }
 
 void forwarder::forward_once(execution_order order, std::shared_ptr<http_exchange> exchange) {
-    this->forward(std::move(order), std::move(exchange));
+    std::string key = read_key(order.request);
+    std::make_shared<once_request>(this->edge, this->ledger, std::move(order), std::move(exchange), std::move(key))
+        ->start();
 }
 
 }  // namespace persimmongrade
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -7,16 +7,19 @@
 
 #include "edge_context.h"
 #include "execution.h"
+#include "ledger_service.h"
 #include "persimmongrade/http_server.h"
 
 namespace persimmongrade {
 
 inline constexpr duration default_deadline = ms(2000);
-inline constexpr duration longest_deadline = ms(10000);  // leases count a dispatched request as running for that long
+
+// Leases count a dispatched request as running for at most 10 s, which includes the time for late results.
+inline constexpr duration longest_deadline = ms(9000);
 
 class forwarder {
 public:
-    explicit forwarder(edge_context& edge) : edge(edge) {}
+    forwarder(edge_context& edge, ledger_service& ledger) : edge(edge), ledger(ledger) {}
 
     void handle(http_request request, std::shared_ptr<http_exchange> exchange);
 
@@ -26,6 +29,7 @@
     void forward_once(execution_order order, std::shared_ptr<http_exchange> exchange);
 
     edge_context& edge;
+    ledger_service& ledger;
 };
 
 }  // namespace persimmongrade
