--- a/src/control/consensus_driver.h
+++ b/src/control/consensus_driver.h
@@ -123,7 +123,8 @@
             this->host.leadership_changed(todo.leadership);
         }
         if (todo.needs_log_synced()) {
-            this->carry_out(now, this->core.log_synced(now, todo.entries.back().index));  // reports a due snapshot again
+            this->carry_out(now,
+                            this->core.log_synced(now, todo.entries.back().index));  // reports a due snapshot again
         } else if (todo.snapshot_due) {
             this->carry_out(now, this->core.snapshot_taken(now, this->applied_index, this->host.save_state()));
         }
--- a/src/record/record_parser.cpp
+++ b/src/record/record_parser.cpp
@@ -521,8 +521,7 @@
     if (!reader.is_map()) {
         return record;
     }
-    faults.set_origin("name", "name", root);
-    faults.set_origin("version", "version", root);
+    set_origins(faults, "", "", root, {"name", "version"});
     constexpr std::uint32_t any = std::numeric_limits<std::uint32_t>::max();
     reader.read("schema_version", true, record.schema_version, 0u, any);
     bool supported = record.schema_version == 1 || record.schema_version == 2;
