--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -642,9 +642,10 @@
         peer.next = std::max(peer.next, peer.match + 1);
         this->replicate_to(now, from, peer, send_reason::proposal);
         this->advance_commit(now);  // may change the members: `peer` is not used after this
-    } else if (!peer.sending && reply.conflict_index > peer.match && reply.conflict_index < peer.next) {
+    } else if (auto retry = std::max(reply.conflict_index, peer.match + 1); !peer.sending && retry < peer.next) {
+        // The follower skips a whole term, which can reach back before entries that are known to match.
         peer.probing = true;
-        peer.next = reply.conflict_index;
+        peer.next = retry;
         this->replicate_to(now, from, peer, send_reason::reply);
     }
     this->continue_transfer();
--- /dev/null
+++ b/tests/consensus/cluster.h
@@ -0,0 +1,392 @@
+// A cluster of consensus members in one process: simulated time, clocks, network and disks. Every step checks the
+// safety properties; a violation throws `violation`.
+
+#pragma once
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstring>
+#include <map>
+#include <stdexcept>
+
+#include "memory_file_system.h"
+
+namespace persimmongrade {
+
+struct violation : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+inline void check_that(bool holds, const std::string& text) {
+    if (!holds) {
+        throw violation(text);
+    }
+}
+
+// The state of the application: the number of applied entries and a digest over all of them.
+struct application {
+    std::uint64_t index = 0;
+    std::uint64_t digest = 0;
+    bool operator==(const application&) const = default;
+
+    application after(const wire::log_entry_t& entry) const {
+        std::array<std::uint64_t, 3> head{this->digest, entry.term, static_cast<std::uint64_t>(entry.kind)};
+        auto seed = XXH64(head.data(), sizeof head, entry.index);
+        return {entry.index, XXH64(entry.payload.data(), entry.payload.size(), seed)};
+    }
+
+    byte_string save() const {
+        byte_string bytes(100);  // several chunks
+        std::memcpy(bytes.data(), this, sizeof *this);
+        return bytes;
+    }
+
+    static application load(const byte_string& bytes) {
+        application loaded;
+        if (!bytes.empty()) {
+            check_that(bytes.size() == 100, "a snapshot has been changed");
+            std::memcpy(&loaded, bytes.data(), sizeof loaded);
+        }
+        return loaded;
+    }
+};
+
+class cluster {
+public:
+    struct node {
+        std::string name;
+        std::string id;  // changes when the disk is lost
+        double rate = 1.0;
+        std::int64_t offset = 0;
+        std::int64_t paused_until = 0;
+        bool bootstrap = true;
+        memory_file_system files;
+        std::unique_ptr<log_storage<memory_file_system>> storage;  // null while the process is down
+        std::unique_ptr<consensus> core;
+        application state;
+    };
+
+    int loss_permille = 0;
+    int duplicate_permille = 0;
+    std::int64_t max_delay = 5;
+    std::vector<node> nodes;
+    std::int64_t now = 0;
+
+    cluster(std::size_t size, std::uint64_t seed) : nodes(size), random(seed) {
+        for (std::size_t i = 0; i < size; ++i) {
+            auto& added = this->nodes[i];
+            added.name = "n" + std::to_string(i);
+            added.rate = 0.995 + static_cast<double>(this->below(1001)) / 100'000;
+            added.offset = static_cast<std::int64_t>(this->below(1'000'000));
+            this->initial.voters.push_back(std::make_unique<wire::voter_t>());
+            this->initial.voters.back()->id = added.name;
+        }
+        for (auto& added : this->nodes) {
+            this->start(added);
+        }
+    }
+
+    std::uint64_t below(std::uint64_t limit) { return this->random() % limit; }
+
+    time_point local_time(const node& at) const {
+        return time_point(ms(at.offset + static_cast<std::int64_t>(static_cast<double>(this->now) * at.rate)));
+    }
+
+    // ---- Faults ----
+
+    void start(node& member) {
+        storage_options options{"d", member.name, {}, this->random(), 600};
+        if (member.bootstrap) {
+            options.bootstrap = this->initial;
+        }
+        member.storage = std::make_unique<log_storage<memory_file_system>>(member.files, options);
+        member.id = member.storage->identity().id;
+        auto loaded = member.storage->take_state();
+        member.state = application::load(loaded.newest_snapshot->data);
+        this->check_prefix(member.state);
+        consensus_options limits;
+        limits.snapshot_threshold = 12;
+        limits.retained_entries = 4;
+        limits.snapshot_chunk_bytes = 40;
+        limits.max_append_entries = 6;
+        limits.max_inflight_entries = 20;
+        member.core =
+            std::make_unique<consensus>(limits, member.id, std::move(loaded), this->random(), this->local_time(member));
+    }
+
+    void crash(node& member) {
+        if (member.core) {
+            member.core.reset();
+            member.storage.reset();
+            member.files.crash(this->random);
+        }
+    }
+
+    void restart(node& member) {
+        if (member.core) {
+            return;
+        }
+        try {
+            this->start(member);
+        } catch (const simulated_crash&) {
+            member.files.crash(this->random);
+        } catch (const file_error&) {
+            member.files.crash(this->random);
+        }
+    }
+
+    // Loses the disk of one voter, if no earlier replacement is running, and starts the process again without data.
+    void lose_disk(node& member) {
+        auto* leader = this->current_leader();
+        bool complete = leader != nullptr && leader != &member && this->replaced.empty() &&
+                        !leader->core->membership_change_pending();
+        if (!complete) {
+            return;
+        }
+        this->crash(member);
+        member.files = {};
+        member.bootstrap = false;
+        this->replaced = member.id;
+        this->start(member);
+        this->replacement = member.id;
+    }
+
+    void set_link(std::size_t a, std::size_t b, bool up) {
+        this->blocked[{this->nodes[a].name, this->nodes[b].name}] = !up;
+        this->blocked[{this->nodes[b].name, this->nodes[a].name}] = !up;
+    }
+
+    void isolate(std::size_t index) {
+        for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+            this->set_link(index, i, i == index);
+        }
+    }
+
+    void heal_network() {
+        this->blocked.clear();
+        this->loss_permille = 0;
+        this->duplicate_permille = 0;
+    }
+
+    // ---- Requests ----
+
+    // A member that is leader with a lease, or null.
+    node* current_leader() {
+        for (auto& member : this->nodes) {
+            if (member.core && member.core->can_serve_reads(this->local_time(member))) {
+                return &member;
+            }
+        }
+        return nullptr;
+    }
+
+    void propose(std::size_t count) {
+        for (auto& member : this->nodes) {
+            if (member.core && member.core->is_leader() && !this->paused(member)) {
+                std::vector<byte_string> payloads;
+                for (std::size_t i = 0; i < count; ++i) {
+                    payloads.emplace_back(8 + this->below(8), static_cast<std::uint8_t>(this->random()));
+                }
+                this->attempt(member,
+                              [&] { return member.core->propose(this->local_time(member), std::move(payloads)).todo; });
+            }
+        }
+    }
+
+    void transfer() {
+        if (auto* leader = this->current_leader(); leader != nullptr && !this->paused(*leader)) {
+            this->attempt(*leader, [&] { return leader->core->transfer_leadership(this->local_time(*leader)); });
+        }
+    }
+
+    // ---- Time ----
+
+    void run_for(std::int64_t length) {
+        for (auto end = this->now + length; this->now < end; ++this->now) {
+            this->deliver_due();
+            for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+                auto& member = this->nodes[i];
+                if ((this->now + static_cast<std::int64_t>(i)) % 10 == 0 && member.core && !this->paused(member)) {
+                    this->perform(member, member.core->tick(this->local_time(member)));
+                }
+            }
+            this->check_leases();
+            this->continue_replacement();
+        }
+    }
+
+    // With all faults healed, a new proposal is applied by every member.
+    void check_progress() {
+        this->heal_network();
+        for (auto& member : this->nodes) {
+            member.paused_until = 0;
+            member.files.clear_faults();
+            this->restart(member);
+        }
+        constexpr std::int64_t limit = 15'000;  // several elections and a replacement
+        auto end = this->now + limit;
+        while (this->now < end && (this->current_leader() == nullptr || !this->replaced.empty())) {
+            this->run_for(20);
+        }
+        auto before = this->history.size();
+        this->propose(1);
+        while (this->now < end && !(this->history.size() > before && this->all_equal())) {
+            this->run_for(20);
+        }
+        check_that(this->history.size() > before, "no progress after all faults were healed");
+        check_that(this->replaced.empty(), "the replacement of a voter did not complete");
+        check_that(this->all_equal(), "members did not reach the same state");
+    }
+
+    std::size_t committed_entries() const { return this->history.size(); }
+
+private:
+    struct packet {
+        std::string from;
+        outgoing_message message;
+    };
+
+    bool paused(const node& member) const { return this->now < member.paused_until; }
+
+    bool all_equal() const {
+        return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const node& member) {
+            return member.core && member.state.index == this->history.size();
+        });
+    }
+
+    template <typename Request>
+    void attempt(node& member, const Request& request) {
+        try {
+            this->perform(member, request());
+        } catch (const not_leader_error&) {
+        } catch (const membership_busy_error&) {
+        } catch (const transfer_error&) {
+        }
+    }
+
+    // Does what the daemon does with an actions value; any failure of the storage ends the process.
+    void perform(node& member, actions todo) {
+        try {
+            while (true) {
+                auto synced = todo.entries.empty() ? 0 : todo.entries.back().index;
+                this->send(member, todo.early_messages);
+                member.storage->persist(todo);
+                this->send(member, todo.messages);
+                this->apply(member, todo);
+                if (todo.leadership == leadership_change::gained) {
+                    auto [known, added] = this->leaders.emplace(member.core->term(), member.id);
+                    check_that(added || known->second == member.id, "two leaders in one term");
+                }
+                if (synced > 0) {
+                    todo = member.core->log_synced(this->local_time(member), synced);
+                } else if (todo.snapshot_due) {
+                    todo =
+                        member.core->snapshot_taken(this->local_time(member), member.state.index, member.state.save());
+                } else {
+                    break;
+                }
+            }
+        } catch (const simulated_crash&) {
+            this->crash(member);
+        } catch (const file_error&) {
+            this->crash(member);
+        }
+    }
+
+    void apply(node& member, const actions& todo) {
+        if (todo.install) {
+            check_that(todo.install->last_index > member.state.index, "a snapshot moved the state backwards");
+            member.state = application::load(todo.install->data);
+            check_that(member.state.index == todo.install->last_index, "the snapshot belongs to another index");
+            this->check_prefix(member.state);
+        }
+        for (const auto& entry : todo.committed) {
+            check_that(entry.index == member.state.index + 1, "entries are not applied in order");
+            member.state = member.state.after(entry);
+            if (entry.index == this->history.size() + 1) {
+                this->history.push_back(member.state.digest);
+            }
+            this->check_prefix(member.state);
+        }
+    }
+
+    // Committed entries never change: every applied state equals the first one seen at its index.
+    void check_prefix(const application& state) {
+        check_that(state.index <= this->history.size(), "state from beyond the committed log");
+        check_that(state.index == 0 || this->history[state.index - 1] == state.digest, "a committed entry changed");
+    }
+
+    void check_leases() {
+        std::string holder;
+        for (const auto& member : this->nodes) {
+            if (member.core && member.core->has_leader_lease(this->local_time(member))) {
+                check_that(holder.empty(), "two leaders hold a lease: " + holder + " and " + member.id);
+                holder = member.id;
+                bool stale =
+                    member.core->can_serve_reads(this->local_time(member)) && member.state.index < this->history.size();
+                check_that(!stale, "a leader with a lease does not know a committed entry");
+            }
+        }
+    }
+
+    void send(const node& from, const std::vector<outgoing_message>& messages) {
+        for (const auto& message : messages) {
+            int copies = 1 + (static_cast<int>(this->below(1000)) < this->duplicate_permille ? 1 : 0);
+            for (int i = 0; i < copies; ++i) {
+                auto delay = static_cast<std::int64_t>(this->below(static_cast<std::uint64_t>(this->max_delay) + 1));
+                if (static_cast<int>(this->below(1000)) >= this->loss_permille) {
+                    this->packets.emplace(this->now + delay, packet{from.id, message});
+                }
+            }
+        }
+    }
+
+    // Packets are addressed by identity, so those to a lost identity disappear.
+    void deliver_due() {
+        while (!this->packets.empty() && this->packets.begin()->first <= this->now) {
+            auto next = std::move(this->packets.begin()->second);
+            this->packets.erase(this->packets.begin());
+            auto to = std::find_if(this->nodes.begin(), this->nodes.end(),
+                                   [&](const node& member) { return member.id == next.message.to; });
+            bool reachable = to != this->nodes.end() && to->core && !this->blocked[{next.from.substr(0, 2), to->name}];
+            if (reachable && this->paused(*to)) {
+                this->packets.emplace(to->paused_until, std::move(next));  // waits in the socket
+            } else if (reachable) {
+                this->perform(*to, to->core->receive(this->local_time(*to), next.from, next.message.body));
+            }
+        }
+    }
+
+    // The operator's part of a replacement: asks the leader until the change is complete.
+    void continue_replacement() {
+        if (this->replaced.empty() || this->now % 50 != 0) {
+            return;
+        }
+        auto* leader = this->current_leader();
+        if (leader == nullptr || this->paused(*leader)) {
+            return;
+        }
+        const auto& set = leader->core->voters().voters;
+        bool added = std::any_of(set.begin(), set.end(), [&](const auto& v) { return v->id == this->replacement; });
+        if (!added) {
+            membership_change change;
+            change.member.id = this->replacement;
+            change.member.replaces = this->replaced;
+            this->attempt(*leader, [&] { return leader->core->change_voters(this->local_time(*leader), change).todo; });
+        } else if (!leader->core->membership_change_pending()) {
+            this->replaced.clear();
+        }
+    }
+
+    std::mt19937_64 random;
+    wire::voter_set_t initial;
+    std::multimap<std::int64_t, packet> packets;
+    std::map<std::pair<std::string, std::string>, bool> blocked;
+    std::map<std::uint64_t, std::string> leaders;  // by term
+    std::vector<std::uint64_t> history;            // digest after each committed entry
+    std::string replaced;                          // identity whose disk was lost; empty: no replacement running
+    std::string replacement;
+};
+
+}  // namespace persimmongrade
