--- a/tests/load/deployment.h
+++ b/tests/load/deployment.h
@@ -43,7 +43,7 @@
             this->start_control(i, true);
         }
         for (std::size_t i = 1; i <= edge_count; ++i) {
-            this->start_edge(i);
+            this->start_edge(i, true);
         }
         for (const char* service : {"look", "book"}) {
             for (std::size_t i = 1; i <= targets_per_service; ++i) {
@@ -64,17 +64,14 @@
     void start_control(std::size_t i, bool bootstrap) {
         std::string id = "control-" + std::to_string(i);
         this->write(id, this->common("control", i) + "data_directory: " + (this->directory / id).string() + "\n");
-        std::vector<std::string> arguments{"--config", this->settings_file(id)};
-        if (bootstrap) {
-            arguments.emplace_back("--bootstrap");
-        }
-        this->start(id, "persimmongrade-control", arguments);
+        this->start_with_bootstrap(id, "persimmongrade-control", bootstrap);
     }
 
-    void start_edge(std::size_t i) {
+    // `bootstrap`: the first start of the deployment, with nothing for the ledger to copy. Never for a restart.
+    void start_edge(std::size_t i, bool bootstrap) {
         std::string id = "edge-" + std::to_string(i);
         this->write(id, this->common("edge", i) + "stop_timeout_ms: 15000\nlookup_ttl_ms: 1000\n");
-        this->start(id, "persimmongrade-edge", {"--config", this->settings_file(id)});
+        this->start_with_bootstrap(id, "persimmongrade-edge", bootstrap);
     }
 
     void start_target(const std::string& service, std::size_t i) {
@@ -256,6 +253,14 @@
                                          child_process(program, arguments, (this->directory / (id + ".log")).string()));
     }
 
+    void start_with_bootstrap(const std::string& id, const std::string& program, bool bootstrap) {
+        std::vector<std::string> arguments{"--config", this->settings_file(id)};
+        if (bootstrap) {
+            arguments.emplace_back("--bootstrap");
+        }
+        this->start(id, program, arguments);
+    }
+
     std::string common(const std::string& label, std::size_t number) const {
         std::ostringstream text;
         bool control = label == "control";
--- a/tests/load/test_faults.cpp
+++ b/tests/load/test_faults.cpp
@@ -52,7 +52,7 @@
 TEST_CASE("promises hold when an edge is killed during bookings that are resent elsewhere") {
     deployment system("edge-killed");
     system.loop.after(ms(2000), [&] { system.process("edge-2").kill_now(); });
-    system.loop.after(ms(4000), [&] { system.start_edge(2); });
+    system.loop.after(ms(4000), [&] { system.start_edge(2, false); });
     require_promises(system, system.run_load(system.options(load_length)), 0.9);
 }
 
