--- a/include/persimmongrade/client_block_table.h
+++ b/include/persimmongrade/client_block_table.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -73,6 +74,7 @@
     friend bool operator==(const client_block_delta&, const client_block_delta&) = default;
 };
 
+// The message `client_block_changes` of schema/record.fbs, verified when read.
 std::vector<std::uint8_t> encode(const client_block_delta& delta);  // about 8 bytes per IPv4 change and site name
 client_block_delta decode_client_block_delta(std::span<const std::uint8_t> bytes);  // throws client_block_error
 
@@ -80,13 +82,15 @@
 public:
     client_block_table() = default;
     // When a prefix occurs twice, the last one counts. Throws client_block_error.
-    explicit client_block_table(std::span<const wire::client_block_t> blocks, std::uint64_t revision = 0);
+    explicit client_block_table(std::span<const std::unique_ptr<wire::client_block_t>> blocks,
+                                std::uint64_t revision = 0);
     // All client blocks of all records, in order of the records.
     explicit client_block_table(const wire::configuration_t& configuration);
 
     std::optional<site_index> find(const client_address& address) const noexcept;
     std::optional<site_index> find(std::string_view address) const;  // throws client_block_error
     const std::string& site_name(site_index site) const { return this->site_names.at(site); }
+    std::span<const std::string> sites() const noexcept { return this->site_names; }
 
     void apply(const client_block_delta& delta);  // throws client_block_revision_error
     void apply(const client_block_change& change);
@@ -111,34 +115,42 @@
     using v6_key = std::array<std::uint32_t, 3>;  // low 96 bits
     template <typename Key>
     using bucket = std::vector<block<Key>>;
+    using short_map = std::map<std::pair<std::uint8_t, std::uint32_t>, site_index>;  // by (length, top bits)
 
+    static bool contains(const block<v4_key>& candidate, const v4_key& key) noexcept;
+    static bool contains(const block<v6_key>& candidate, const v6_key& key) noexcept;
     template <typename Key>
-    static bool contains(const block<Key>& candidate, const Key& key) noexcept;
+    static bool before(const block<Key>& left, const block<Key>& right) noexcept;
     template <typename Key>
     static site_index search(const bucket<Key>& blocks, const Key& key) noexcept;
     template <typename Key>
     static void link_parents(bucket<Key>& blocks);
     template <typename Key>
-    static int change(bucket<Key>& blocks, const Key& start, std::uint8_t length, site_index site);
+    static void sort_and_link(bucket<Key>& blocks);
+    template <typename Key>
+    static int change(bucket<Key>& blocks, const block<Key>& entry);
+    static int change(short_map& blocks, std::uint8_t length, std::uint32_t top, site_index site);
 
     site_index intern(std::string_view site);
     void insert_unlinked(const client_prefix& prefix, site_index site);
-    void sort_and_link();
-    void apply_v4(const client_prefix& prefix, site_index site);
-    void apply_v6(const client_prefix& prefix, site_index site);
-    site_index short_v4(std::uint32_t top) const noexcept;
-    site_index short_v6(std::uint32_t top) const noexcept;
+    void finish_build();
+    void add(std::span<const std::unique_ptr<wire::client_block_t>> blocks);
+    int apply_v4(const client_prefix& prefix, site_index site);
+    int apply_v6(const client_prefix& prefix, site_index site);
+    site_index find_short_v6(std::uint32_t top) const noexcept;
     void refresh_defaults(std::uint32_t first, std::uint32_t last);
+    void allocate_v4();
 
     std::uint64_t revision_number = 0;
     std::size_t count = 0;
     std::vector<std::string> site_names;
     std::map<std::string, site_index, std::less<>> site_ids;
-    std::vector<bucket<v4_key>> v4;      // by the top 16 bits; empty until the first IPv4 block
-    std::vector<site_index> v4_default;  // site of the longest prefix of at most 16 bits
-    std::map<std::pair<std::uint8_t, std::uint32_t>, site_index> v4_short;  // (length, top 16 bits)
-    std::unordered_map<std::uint32_t, bucket<v6_key>> v6;                   // by the top 32 bits
-    std::map<std::pair<std::uint8_t, std::uint32_t>, site_index> v6_short;  // (length, top 32 bits)
+    std::vector<bucket<v4_key>> v4;                        // by the top 16 bits; empty until the first IPv4 block
+    std::vector<site_index> v4_default;                    // site of the longest prefix of at most 16 bits
+    short_map v4_short;                                    // prefixes of at most 16 bits
+    std::unordered_map<std::uint32_t, bucket<v6_key>> v6;  // by the top 32 bits
+    short_map v6_short;                                    // prefixes of at most 32 bits
+    std::array<std::uint32_t, 33> v6_short_count{};        // by length, to skip lengths without prefixes
 };
 
 }  // namespace persimmongrade
--- a/include/persimmongrade/shift_controller.h
+++ b/include/persimmongrade/shift_controller.h
@@ -13,6 +13,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,7 +29,8 @@
 struct shift_options {
     duration measurement_age_limit = ms(3000);   // older measurements freeze the service
     duration cached_answer_lifetime = ms(5000);  // ttl of lookup answers
-    double target_utilization = 0.9;             // part of a limit or capacity that an assignment may plan to use
+    double overload = 0.9;                       // part of a limit or capacity above which traffic moves away
+    double fill = 0.8;  // part up to which traffic moves in; the difference prevents oscillation
 
     friend bool operator==(const shift_options&, const shift_options&) = default;
 };
@@ -38,7 +41,7 @@
     moving,              // a step was decided
     cap_used,            // the cap of the current interval is used up
     measurements_stale,  // missing or older than the age limit: frozen
-    no_room,             // no region has room for what should move
+    no_room,             // no region has room for what should move; it stays assigned and is refused
 };
 
 struct shift_status {
@@ -52,21 +55,27 @@
 public:
     shift_controller(shift_options options, std::vector<region_latency> latencies);
 
-    // A new leader does not know what its predecessor moved: it waits one interval before the first step.
+    // Moves of a predecessor are known from `apply`. A process that has applied revisions for less than one interval
+    // and the lifetime of cached answers waits that long before the first step.
     void become_leader(time_point now);
+    void step_down();
     void apply(const wire::configuration_t& configuration, time_point now);  // records, limits, current assignments
     // Measurements of one edge. A lower or equal sequence than the last of the same edge and subject is ignored.
     void observe(const std::string& edge, const wire::service_demand_t& demand, time_point taken_at);
     void observe(const std::string& edge, const wire::region_capacity_t& capacity, time_point taken_at);
-    void forget(const std::string& edge);  // an edge that left; its measurements no longer count or go stale
+    // An edge that left or restarted: its measurements no longer count, and its sequences begin again.
+    void forget(const std::string& edge);
 
     // Complete assignments (shares sum to 1000) that change; empty when nothing does. A caller region without an
-    // assignment gets its first one at once, as no traffic moves.
+    // assignment gets its first one at once, as no traffic moves. After a decision nothing more is decided for the
+    // service until `apply` has shown it, this process has ceased to lead, or 30 s have passed.
     std::vector<wire::assignment_t> decide(time_point now);
     std::map<std::string, shift_status> status() const { return this->states; }
 
 private:
     using permille_map = std::map<std::string, std::uint32_t>;  // by target region
+    using amount_map = std::map<std::string, double>;           // requests per second by region
+    using subject_key = std::pair<std::string, std::string>;    // service and caller region, or service and region
     struct demand_sample {
         double requests_per_second = 0;
         time_point taken_at{};
@@ -84,42 +93,71 @@
         std::uint32_t max_permille = 100;
         duration interval = ms(10000);
     };
-    struct region_room {      // of one service
-        double capacity = 0;  // requests per second that may be planned
-        bool cold = false;    // most live targets are cold
-        bool alive = false;
+    struct region_capacity {  // of one service
+        double requests_per_second = 0;
+        bool cold = false;  // most live targets are cold
     };
     struct past_move {
         time_point at{};
         double share = 0;       // of the service's traffic, 0 to 1
         double cold_share = 0;  // part of it into cold regions
+        amount_map left;        // traffic that cached answers may still send to the region it left
     };
-    using service_demand_map = std::map<std::string, double>;  // requests per second by caller region
-    struct step_budget {
-        double warm = 0;  // requests per second that may still move in this interval
-        double cold = 0;  // part of it into cold regions
+    // Working state of one service while a step is decided.
+    struct step {
+        std::string service;
+        const service_entry* entry = nullptr;
+        std::map<std::string, permille_map> shares;  // by caller region
+        amount_map demand;                           // by caller region; a small minimum for idle ones
+        double total = 0;
+        std::map<std::string, region_capacity> capacities;
+        amount_map load;     // of this service, by target region
+        amount_map leaving;  // of this service, by the region it leaves
+        past_move moved;
+        double budget = 0;  // share of the service's traffic that may still move
+        double cold_budget = 0;
+        bool blocked = false;           // traffic should move and no region has room for it
+        std::set<std::string> changed;  // caller regions
     };
 
-    bool fresh_demand(const std::string& service, time_point now, service_demand_map& result) const;
-    bool fresh_capacity(const std::string& service, const service_entry& entry, time_point now,
-                        std::map<std::string, region_room>& result) const;
-    std::vector<std::string> by_latency(const std::string& caller, const std::vector<std::string>& regions,
-                                        const std::map<std::string, double>& headroom) const;
-    void decide_service(const std::string& service, const service_entry& entry, time_point now,
-                        std::map<std::string, double>& region_load, std::vector<wire::assignment_t>& changed);
-    step_budget budget(const std::string& service, const service_entry& entry, double total, time_point now) const;
+    void read_services(const wire::configuration_t& configuration);
+    void read_assignments(const wire::configuration_t& configuration, time_point now);
+    bool fresh(time_point taken_at, time_point now) const;
+    bool read_demand(step& plan, time_point now) const;
+    bool read_capacity(step& plan, time_point now) const;
+    double last_demand(const subject_key& key) const;
+    amount_map total_load(time_point now) const;
+    std::set<std::string> caller_regions(const service_entry& entry) const;
+    std::vector<std::string> by_latency(const std::string& caller, const step& plan, const amount_map& loads) const;
     std::uint32_t latency(const std::string& from, const std::string& to) const;
+    void first_assignments(const std::string& service, const service_entry& entry, time_point now,
+                           std::vector<wire::assignment_t>& result);
+    std::string first_region(const std::string& caller, const std::string& service, const service_entry& entry,
+                             time_point now) const;
+    bool prepare(step& plan, time_point now);
+    void set_budget(step& plan, time_point now);
+    double excess(const step& plan, const amount_map& loads, const std::string& region) const;
+    double room(const step& plan, const amount_map& loads, const std::string& region) const;
+    void relieve(step& plan, amount_map& loads) const;
+    void improve(step& plan, amount_map& loads) const;
+    double move(step& plan, amount_map& loads, const std::string& caller, const std::string& from,
+                const std::string& to, double amount) const;
+    void finish(step& plan, time_point now, std::vector<wire::assignment_t>& result);
+    static wire::assignment_t to_assignment(const std::string& service, const std::string& caller,
+                                            const permille_map& shares);
 
     shift_options options;
     std::vector<region_latency> latencies;
     std::map<std::string, service_entry> services;
     limit_table limits;
-    std::map<std::pair<std::string, std::string>, permille_map> assignments;  // by (service, caller region)
-    std::map<std::pair<std::string, std::string>, std::map<std::string, demand_sample>> demands;       // then by edge
-    std::map<std::pair<std::string, std::string>, std::map<std::string, capacity_sample>> capacities;  // then by edge
-    std::map<std::string, std::deque<past_move>> moves;                                                // by service
+    std::map<subject_key, permille_map> assignments;  // applied, by service and caller region
+    std::map<subject_key, permille_map> decided;      // by this process and already counted as moved
+    std::map<std::string, time_point> pending;        // services with a decided step that is not applied yet
+    std::map<subject_key, std::map<std::string, demand_sample>> demands;       // then by edge
+    std::map<subject_key, std::map<std::string, capacity_sample>> capacities;  // then by edge
+    std::map<std::string, std::deque<past_move>> moves;                        // by service
     std::map<std::string, shift_status> states;
-    time_point first_step_at{};
+    std::optional<time_point> known_since;  // first applied revision
     bool leading = false;
 };
 
--- /dev/null
+++ b/src/steering/client_block_table.cpp
@@ -0,0 +1,443 @@
+#include "persimmongrade/client_block_table.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr std::size_t v4_buckets = 65536;
+constexpr std::uint8_t v4_bucket_bits = 16;
+constexpr std::uint8_t v6_bucket_bits = 32;
+constexpr std::uint16_t removed_site = 0xffff;
+constexpr std::array<std::uint8_t, 12> mapped_v4 = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
+
+std::uint32_t word(const client_address& address, std::size_t index) noexcept {
+    const auto* bytes = address.bytes.data() + index * 4;
+    return std::uint32_t{bytes[0]} << 24 | std::uint32_t{bytes[1]} << 16 | std::uint32_t{bytes[2]} << 8 | bytes[3];
+}
+
+std::uint32_t high_bits(std::uint32_t value, unsigned bits) noexcept {
+    return bits == 0 ? 0 : value & (0xffffffffU << (32 - bits));
+}
+
+bool is_mapped(const client_address& address) noexcept {
+    return address.v6 && std::equal(mapped_v4.begin(), mapped_v4.end(), address.bytes.begin());
+}
+
+client_address unmap(const client_address& address) noexcept {
+    client_address result;
+    std::copy_n(address.bytes.begin() + mapped_v4.size(), 4, result.bytes.begin());
+    return result;
+}
+
+client_address parse_raw(std::string_view text) {
+    std::array<char, INET6_ADDRSTRLEN + 1> buffer{};
+    client_address result;
+    if (text.size() < buffer.size()) {
+        std::copy(text.begin(), text.end(), buffer.begin());
+        result.v6 = text.find(':') != std::string_view::npos;
+        if (inet_pton(result.v6 ? AF_INET6 : AF_INET, buffer.data(), result.bytes.data()) == 1) {
+            return result;
+        }
+    }
+    throw client_block_error("\"" + std::string(text.substr(0, 64)) + "\" is not a numeric IP address");
+}
+
+void clear_after(client_address& address, std::uint8_t length) noexcept {
+    for (std::size_t i = 0; i < address.bytes.size(); ++i) {
+        int keep = std::clamp(static_cast<int>(length) - static_cast<int>(i) * 8, 0, 8);
+        address.bytes[i] = static_cast<std::uint8_t>(address.bytes[i] & (0xff00 >> keep));
+    }
+}
+
+}  // namespace
+
+// ---- Addresses and prefixes ----
+
+client_address parse_client_address(std::string_view text) {
+    client_address result = parse_raw(text);
+    return is_mapped(result) ? unmap(result) : result;
+}
+
+client_prefix parse_client_prefix(std::string_view text) {
+    auto slash = text.find('/');
+    client_prefix result{parse_raw(text.substr(0, slash)), 0};
+    unsigned longest = result.address.v6 ? 128 : 32;
+    unsigned length = longest;
+    if (slash != std::string_view::npos) {
+        const char* end = text.data() + text.size();
+        auto parsed = std::from_chars(text.data() + slash + 1, end, length);
+        if (parsed.ec != std::errc() || parsed.ptr != end || length > longest) {
+            throw client_block_error("\"" + std::string(text.substr(0, 64)) + "\" has no valid prefix length");
+        }
+    }
+    if (is_mapped(result.address) && length >= 96) {
+        result.address = unmap(result.address);
+        length -= 96;
+    }
+    result.length = static_cast<std::uint8_t>(length);
+    clear_after(result.address, result.length);
+    return result;
+}
+
+// ---- Deltas ----
+
+std::vector<std::uint8_t> encode(const client_block_delta& delta) {
+    wire::client_block_changes_t message;
+    message.base_revision = delta.base_revision;
+    message.revision = delta.revision;
+    std::map<std::string_view, std::uint16_t> names;
+    for (const auto& change : delta.changes) {
+        std::uint16_t site = removed_site;
+        if (change.site) {
+            auto [position, added] = names.try_emplace(*change.site, static_cast<std::uint16_t>(names.size()));
+            site = position->second;
+            if (added) {
+                message.site_names.push_back(*change.site);
+            }
+        }
+        const client_address& address = change.prefix.address;
+        auto end = address.bytes.begin() + (address.v6 ? 16 : 4);
+        message.addresses.insert(message.addresses.end(), address.bytes.begin(), end);
+        message.versions.push_back(address.v6 ? 6 : 4);
+        message.lengths.push_back(change.prefix.length);
+        message.sites.push_back(site);
+    }
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::client_block_changes::Pack(builder, &message));
+    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+}
+
+client_block_delta decode_client_block_delta(std::span<const std::uint8_t> bytes) {
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+    if (!verifier.VerifyBuffer<wire::client_block_changes>(nullptr)) {
+        throw client_block_error("client block changes are malformed");
+    }
+    wire::client_block_changes_t message;
+    flatbuffers::GetRoot<wire::client_block_changes>(bytes.data())->UnPackTo(&message);
+    client_block_delta result{message.base_revision, message.revision, {}};
+    std::size_t offset = 0;
+    if (message.lengths.size() != message.versions.size() || message.sites.size() != message.versions.size()) {
+        throw client_block_error("client block changes have columns of different lengths");
+    }
+    for (std::size_t i = 0; i < message.versions.size(); ++i) {
+        client_block_change change;
+        change.prefix.address.v6 = message.versions[i] == 6;
+        change.prefix.length = message.lengths[i];
+        std::size_t width = change.prefix.address.v6 ? 16 : 4;
+        bool known = message.sites[i] == removed_site || message.sites[i] < message.site_names.size();
+        if (offset + width > message.addresses.size() || change.prefix.length > width * 8 || !known) {
+            throw client_block_error("client block change " + std::to_string(i) + " is out of range");
+        }
+        std::copy_n(message.addresses.begin() + static_cast<std::ptrdiff_t>(offset), width,
+                    change.prefix.address.bytes.begin());
+        clear_after(change.prefix.address, change.prefix.length);
+        offset += width;
+        if (message.sites[i] != removed_site) {
+            change.site = message.site_names[message.sites[i]];
+        }
+        result.changes.push_back(std::move(change));
+    }
+    return result;
+}
+
+// ---- Buckets ----
+
+bool client_block_table::contains(const block<v4_key>& candidate, const v4_key& key) noexcept {
+    return (candidate.start ^ key) >> (v4_bucket_bits - candidate.length) == 0;
+}
+
+bool client_block_table::contains(const block<v6_key>& candidate, const v6_key& key) noexcept {
+    unsigned left = candidate.length;
+    for (std::size_t i = 0; left > 0; ++i) {
+        unsigned bits = std::min(left, 32U);
+        if (high_bits(candidate.start[i] ^ key[i], bits) != 0) {
+            return false;
+        }
+        left -= bits;
+    }
+    return true;
+}
+
+template <typename Key>
+bool client_block_table::before(const block<Key>& left, const block<Key>& right) noexcept {
+    return left.start != right.start ? left.start < right.start : left.length < right.length;
+}
+
+// Any block that contains the key starts at or before it, and encloses the last block that does.
+template <typename Key>
+site_index client_block_table::search(const bucket<Key>& blocks, const Key& key) noexcept {
+    auto after = std::upper_bound(blocks.begin(), blocks.end(), key,
+                                  [](const Key& value, const block<Key>& entry) { return value < entry.start; });
+    auto index = static_cast<std::size_t>(after - blocks.begin());
+    if (index == 0) {
+        return no_site;
+    }
+    --index;
+    while (!contains(blocks[index], key)) {
+        std::uint16_t parent = blocks[index].parent;
+        if (parent == 0) {
+            return no_site;
+        }
+        index -= parent == far_parent ? 1 : parent;
+    }
+    return blocks[index].site;
+}
+
+template <typename Key>
+void client_block_table::link_parents(bucket<Key>& blocks) {
+    std::vector<std::size_t> enclosing;
+    for (std::size_t i = 0; i < blocks.size(); ++i) {
+        while (!enclosing.empty() && !contains(blocks[enclosing.back()], blocks[i].start)) {
+            enclosing.pop_back();
+        }
+        std::size_t distance = enclosing.empty() ? 0 : i - enclosing.back();
+        blocks[i].parent = static_cast<std::uint16_t>(std::min<std::size_t>(distance, far_parent));
+        enclosing.push_back(i);
+    }
+}
+
+// Of equal prefixes the last one is kept.
+template <typename Key>
+void client_block_table::sort_and_link(bucket<Key>& blocks) {
+    std::stable_sort(blocks.begin(), blocks.end(), before<Key>);
+    auto same = [](const block<Key>& left, const block<Key>& right) {
+        return left.start == right.start && left.length == right.length;
+    };
+    auto kept = std::unique(blocks.rbegin(), blocks.rend(), same);
+    blocks.erase(blocks.begin(), kept.base());
+    blocks.shrink_to_fit();
+    link_parents(blocks);
+}
+
+template <typename Key>
+int client_block_table::change(bucket<Key>& blocks, const block<Key>& entry) {
+    auto position = std::lower_bound(blocks.begin(), blocks.end(), entry, before<Key>);
+    bool found = position != blocks.end() && position->start == entry.start && position->length == entry.length;
+    if (found && entry.site != no_site) {
+        position->site = entry.site;
+        return 0;
+    }
+    if (found) {
+        blocks.erase(position);
+        link_parents(blocks);
+        return -1;
+    }
+    if (entry.site == no_site) {
+        return 0;
+    }
+    blocks.insert(position, entry);
+    link_parents(blocks);
+    return 1;
+}
+
+int client_block_table::change(short_map& blocks, std::uint8_t length, std::uint32_t top, site_index site) {
+    if (site == no_site) {
+        return -static_cast<int>(blocks.erase({length, top}));
+    }
+    return blocks.insert_or_assign({length, top}, site).second ? 1 : 0;
+}
+
+// ---- Building ----
+
+client_block_table::client_block_table(std::span<const std::unique_ptr<wire::client_block_t>> blocks,
+                                       std::uint64_t revision)
+    : revision_number(revision) {
+    this->add(blocks);
+    this->finish_build();
+}
+
+client_block_table::client_block_table(const wire::configuration_t& configuration)
+    : revision_number(configuration.revision) {
+    for (const auto& record : configuration.records) {
+        this->add(record->client_blocks);
+    }
+    this->finish_build();
+}
+
+void client_block_table::add(std::span<const std::unique_ptr<wire::client_block_t>> blocks) {
+    for (const auto& block : blocks) {
+        this->insert_unlinked(parse_client_prefix(block->prefix), this->intern(block->region));
+    }
+}
+
+site_index client_block_table::intern(std::string_view site) {
+    auto position = this->site_ids.find(site);
+    if (position != this->site_ids.end()) {
+        return position->second;
+    }
+    if (this->site_names.size() >= no_site) {
+        throw client_block_error("more than 65,535 sites");
+    }
+    auto index = static_cast<site_index>(this->site_names.size());
+    this->site_names.emplace_back(site);
+    this->site_ids.emplace(site, index);
+    return index;
+}
+
+void client_block_table::allocate_v4() {
+    if (this->v4.empty()) {
+        this->v4.resize(v4_buckets);
+        this->v4_default.assign(v4_buckets, no_site);
+    }
+}
+
+void client_block_table::insert_unlinked(const client_prefix& prefix, site_index site) {
+    std::uint32_t first = word(prefix.address, 0);
+    if (!prefix.address.v6) {
+        this->allocate_v4();
+        if (prefix.length <= v4_bucket_bits) {
+            this->v4_short[{prefix.length, first >> 16}] = site;
+            return;
+        }
+        auto length = static_cast<std::uint8_t>(prefix.length - v4_bucket_bits);
+        this->v4[first >> 16].push_back({static_cast<v4_key>(first), site, 0, length});
+        return;
+    }
+    if (prefix.length <= v6_bucket_bits) {
+        this->v6_short[{prefix.length, first}] = site;
+        return;
+    }
+    v6_key key{word(prefix.address, 1), word(prefix.address, 2), word(prefix.address, 3)};
+    this->v6[first].push_back({key, site, 0, static_cast<std::uint8_t>(prefix.length - v6_bucket_bits)});
+}
+
+void client_block_table::finish_build() {
+    this->count = this->v4_short.size() + this->v6_short.size();
+    for (auto& blocks : this->v4) {
+        sort_and_link(blocks);
+        this->count += blocks.size();
+    }
+    for (auto& [top, blocks] : this->v6) {
+        sort_and_link(blocks);
+        this->count += blocks.size();
+    }
+    for (const auto& [key, site] : this->v6_short) {
+        ++this->v6_short_count[key.first];
+    }
+    if (!this->v4.empty()) {
+        this->refresh_defaults(0, v4_buckets - 1);
+    }
+}
+
+// Sites of the prefixes of at most 16 bits for the buckets `first` to `last`; longer prefixes are written later.
+void client_block_table::refresh_defaults(std::uint32_t first, std::uint32_t last) {
+    std::fill(this->v4_default.begin() + first, this->v4_default.begin() + last + 1, no_site);
+    for (const auto& [key, site] : this->v4_short) {
+        std::uint32_t begin = std::max(first, key.second);
+        std::uint32_t end = std::min(last, key.second + (0xffffU >> key.first));
+        for (std::uint32_t i = begin; i <= end; ++i) {
+            this->v4_default[i] = site;
+        }
+    }
+}
+
+// ---- Lookup ----
+
+std::optional<site_index> client_block_table::find(const client_address& address) const noexcept {
+    std::uint32_t first = word(address, 0);
+    site_index site = no_site;
+    if (!address.v6) {
+        if (this->v4.empty()) {
+            return std::nullopt;
+        }
+        site = search(this->v4[first >> 16], static_cast<v4_key>(first));
+        site = site == no_site ? this->v4_default[first >> 16] : site;
+    } else {
+        auto blocks = this->v6.find(first);
+        if (blocks != this->v6.end()) {
+            site = search(blocks->second, v6_key{word(address, 1), word(address, 2), word(address, 3)});
+        }
+        site = site == no_site ? this->find_short_v6(first) : site;
+    }
+    return site == no_site ? std::nullopt : std::optional(site);
+}
+
+std::optional<site_index> client_block_table::find(std::string_view address) const {
+    return this->find(parse_client_address(address));
+}
+
+site_index client_block_table::find_short_v6(std::uint32_t top) const noexcept {
+    for (int length = v6_bucket_bits; length >= 0; --length) {
+        if (this->v6_short_count[static_cast<std::size_t>(length)] == 0) {
+            continue;
+        }
+        auto bits = static_cast<std::uint8_t>(length);
+        auto position = this->v6_short.find({bits, high_bits(top, bits)});
+        if (position != this->v6_short.end()) {
+            return position->second;
+        }
+    }
+    return no_site;
+}
+
+// ---- Changes ----
+
+int client_block_table::apply_v4(const client_prefix& prefix, site_index site) {
+    this->allocate_v4();
+    std::uint32_t first = word(prefix.address, 0);
+    if (prefix.length > v4_bucket_bits) {
+        auto length = static_cast<std::uint8_t>(prefix.length - v4_bucket_bits);
+        return change(this->v4[first >> 16], block<v4_key>{static_cast<v4_key>(first), site, 0, length});
+    }
+    int difference = change(this->v4_short, prefix.length, first >> 16, site);
+    this->refresh_defaults(first >> 16, (first >> 16) + (0xffffU >> prefix.length));
+    return difference;
+}
+
+int client_block_table::apply_v6(const client_prefix& prefix, site_index site) {
+    std::uint32_t first = word(prefix.address, 0);
+    if (prefix.length <= v6_bucket_bits) {
+        int difference = change(this->v6_short, prefix.length, first, site);
+        this->v6_short_count[prefix.length] += static_cast<std::uint32_t>(difference);
+        return difference;
+    }
+    v6_key key{word(prefix.address, 1), word(prefix.address, 2), word(prefix.address, 3)};
+    auto length = static_cast<std::uint8_t>(prefix.length - v6_bucket_bits);
+    auto position = this->v6.try_emplace(first).first;
+    int difference = change(position->second, block<v6_key>{key, site, 0, length});
+    if (position->second.empty()) {
+        this->v6.erase(position);
+    }
+    return difference;
+}
+
+void client_block_table::apply(const client_block_change& change) {
+    site_index site = change.site ? this->intern(*change.site) : no_site;
+    int difference =
+        change.prefix.address.v6 ? this->apply_v6(change.prefix, site) : this->apply_v4(change.prefix, site);
+    this->count = static_cast<std::size_t>(static_cast<std::ptrdiff_t>(this->count) + difference);
+}
+
+void client_block_table::apply(const client_block_delta& delta) {
+    if (delta.base_revision != this->revision_number) {
+        throw client_block_revision_error("client blocks are at revision " + std::to_string(this->revision_number) +
+                                          ", the delta begins at " + std::to_string(delta.base_revision));
+    }
+    for (const auto& change : delta.changes) {
+        this->apply(change);
+    }
+    this->revision_number = delta.revision;
+}
+
+// Tree and hash nodes are estimated at 48 and 32 bytes above their content.
+std::size_t client_block_table::memory_bytes() const noexcept {
+    constexpr std::size_t tree_node = 48;
+    constexpr std::size_t hash_node = 32;
+    std::size_t result =
+        sizeof(*this) + this->v4.capacity() * sizeof(bucket<v4_key>) + this->v4_default.capacity() * sizeof(site_index);
+    for (const auto& blocks : this->v4) {
+        result += blocks.capacity() * sizeof(block<v4_key>);
+    }
+    for (const auto& [top, blocks] : this->v6) {
+        result += hash_node + sizeof(blocks) + blocks.capacity() * sizeof(block<v6_key>);
+    }
+    return result + (this->v4_short.size() + this->v6_short.size()) * tree_node;
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/steering/shift_controller.cpp
@@ -0,0 +1,528 @@
+// Index: inputs, measurements, first assignments, one step of a service, moving traffic.
+
+#include "persimmongrade/shift_controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr std::uint32_t whole = 1000;           // per mille
+constexpr double idle_weight = 0.01;            // part of a service's demand that an idle caller region is charged as
+constexpr double smallest_total = 0.001;        // requests per second; avoids division by zero for idle services
+constexpr double rounding = 1e-9;               // of one per mille
+constexpr double cold_part = 0.25;              // of the cap, into regions whose targets are cold
+constexpr duration clock_tolerance = ms(1000);  // a measurement from further in the future is not trusted
+// A step that is still not applied after this time is decided again. It is longer than a leader can go on leading
+// without a majority: a second step from the same state, applied after the first, would move traffic back and forth.
+constexpr duration pending_timeout = ms(30000);
+constexpr std::uint32_t unknown_latency = std::numeric_limits<std::uint32_t>::max();
+
+// The middle value; of two middle ones the lower.
+template <typename Value>
+Value lower_median(std::vector<Value> values) {
+    auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+double value_of(const std::map<std::string, double>& amounts, const std::string& region) {
+    auto position = amounts.find(region);
+    return position == amounts.end() ? 0 : position->second;
+}
+
+}  // namespace
+
+shift_controller::shift_controller(shift_options options, std::vector<region_latency> latencies)
+    : options(options), latencies(std::move(latencies)) {}
+
+// ---- Inputs ----
+
+void shift_controller::become_leader(time_point now) {
+    this->leading = true;
+    this->pending.clear();
+    this->decided.clear();
+    if (!this->known_since) {
+        this->known_since = now;
+    }
+}
+
+void shift_controller::step_down() {
+    this->leading = false;
+    this->pending.clear();
+    this->decided.clear();
+}
+
+void shift_controller::apply(const wire::configuration_t& configuration, time_point now) {
+    this->limits = limit_table(configuration);
+    this->read_services(configuration);
+    this->read_assignments(configuration, now);
+    if (!this->known_since) {
+        this->known_since = now;
+    }
+}
+
+// When several records declare a service, the smallest cap and the longest interval count.
+void shift_controller::read_services(const wire::configuration_t& configuration) {
+    this->services.clear();
+    for (const auto& record : configuration.records) {
+        for (const auto& service : record->services) {
+            auto [position, added] = this->services.try_emplace(service->name);
+            service_entry& entry = position->second;
+            wire::shift_cap_t cap = service->shift ? *service->shift : wire::shift_cap_t{};
+            entry.max_permille = added ? cap.max_permille : std::min(entry.max_permille, cap.max_permille);
+            entry.interval = added ? ms(cap.interval_ms) : std::max(entry.interval, ms(cap.interval_ms));
+            for (const auto& region : service->regions) {
+                if (std::find(entry.regions.begin(), entry.regions.end(), region) == entry.regions.end()) {
+                    entry.regions.push_back(region);
+                }
+            }
+        }
+    }
+}
+
+// Changes that this process did not decide itself are counted with the largest share that any caller region moved,
+// because the demand at the time is not known here.
+void shift_controller::read_assignments(const wire::configuration_t& configuration, time_point now) {
+    std::map<subject_key, permille_map> next;
+    for (const auto& entry : configuration.assignments) {
+        permille_map& shares = next[{entry->service, entry->caller_region}];
+        for (const auto& share : entry->shares) {
+            shares[share->region] += share->permille;
+        }
+    }
+    std::map<std::string, past_move> foreign;
+    for (const auto& [key, shares] : next) {
+        auto before = this->assignments.find(key);
+        auto own = this->decided.find(key);
+        if (before != this->assignments.end() && before->second == shares) {
+            continue;
+        }
+        this->pending.erase(key.first);
+        if (before == this->assignments.end()) {
+            continue;
+        }
+        if (own != this->decided.end() && own->second == shares) {
+            continue;
+        }
+        past_move& moved = foreign[key.first];
+        double share = 0;
+        for (const auto& [region, permille] : before->second) {
+            auto after = shares.find(region);
+            std::uint32_t kept = after == shares.end() ? 0 : std::min(permille, after->second);
+            share += (permille - kept) / double{whole};
+            moved.left[region] += this->last_demand(key) * (permille - kept) / whole;
+        }
+        moved.at = now;
+        moved.share = std::max(moved.share, share);
+        moved.cold_share = moved.share;
+    }
+    for (auto& [service, moved] : foreign) {
+        this->moves[service].push_back(std::move(moved));
+    }
+    this->assignments = std::move(next);
+}
+
+// ---- Measurements ----
+
+void shift_controller::observe(const std::string& edge, const wire::service_demand_t& demand, time_point taken_at) {
+    demand_sample& sample = this->demands[{demand.service, demand.caller_region}][edge];
+    if (demand.sequence > sample.sequence) {
+        sample = {std::max(0.0, demand.requests_per_second), taken_at, demand.sequence};
+    }
+}
+
+void shift_controller::observe(const std::string& edge, const wire::region_capacity_t& capacity, time_point taken_at) {
+    capacity_sample& sample = this->capacities[{capacity.service, capacity.region}][edge];
+    if (capacity.sequence > sample.sequence) {
+        sample = {capacity.live_targets, capacity.cold_targets, std::max(0.0, capacity.requests_per_second), taken_at,
+                  capacity.sequence};
+    }
+}
+
+void shift_controller::forget(const std::string& edge) {
+    for (auto& [key, samples] : this->demands) {
+        samples.erase(edge);
+    }
+    for (auto& [key, samples] : this->capacities) {
+        samples.erase(edge);
+    }
+}
+
+bool shift_controller::fresh(time_point taken_at, time_point now) const {
+    return taken_at <= now + clock_tolerance && now - taken_at <= this->options.measurement_age_limit;
+}
+
+double shift_controller::last_demand(const subject_key& key) const {
+    double sum = 0;
+    auto samples = this->demands.find(key);
+    if (samples != this->demands.end()) {
+        for (const auto& [edge, sample] : samples->second) {
+            sum += sample.requests_per_second;
+        }
+    }
+    return sum;
+}
+
+// False when no edge reports the service's demand or one of the reports is too old.
+bool shift_controller::read_demand(step& plan, time_point now) const {
+    bool any = false;
+    for (const auto& [key, samples] : this->demands) {
+        for (const auto& [edge, sample] : samples) {
+            any = any || key.first == plan.service;
+            if (key.first == plan.service && !this->fresh(sample.taken_at, now)) {
+                return false;
+            }
+        }
+    }
+    for (const auto& [caller, shares] : plan.shares) {
+        plan.demand[caller] = this->last_demand({plan.service, caller});
+        plan.total += plan.demand[caller];
+    }
+    plan.total = std::max(plan.total, smallest_total);
+    for (auto& [caller, amount] : plan.demand) {
+        amount = std::max(amount, plan.total * idle_weight);
+    }
+    return any;
+}
+
+// False when a report is too old, or when a region that has traffic was never reported. The edges' reports are combined
+// by their median, so that one edge with an incomplete view moves nothing.
+bool shift_controller::read_capacity(step& plan, time_point now) const {
+    std::set<std::string> regions(plan.entry->regions.begin(), plan.entry->regions.end());
+    for (const auto& [region, amount] : plan.load) {
+        regions.insert(region);
+    }
+    for (const auto& region : regions) {
+        auto samples = this->capacities.find({plan.service, region});
+        if (samples == this->capacities.end() || samples->second.empty()) {
+            if (value_of(plan.load, region) > 0) {
+                return false;
+            }
+            continue;
+        }
+        std::vector<double> rates;
+        std::vector<bool> cold;
+        for (const auto& [edge, sample] : samples->second) {
+            if (!this->fresh(sample.taken_at, now)) {
+                return false;
+            }
+            rates.push_back(sample.live > 0 ? sample.requests_per_second : 0);
+            cold.push_back(sample.cold * 2 > sample.live);
+        }
+        auto cold_reports = static_cast<std::size_t>(std::count(cold.begin(), cold.end(), true));
+        plan.capacities[region] = {lower_median(rates), cold_reports * 2 >= cold.size() && cold_reports > 0};
+    }
+    return true;
+}
+
+// Assigned traffic of all services by target region, and what cached answers may still send to regions it left.
+shift_controller::amount_map shift_controller::total_load(time_point now) const {
+    amount_map result;
+    for (const auto& [key, shares] : this->assignments) {
+        for (const auto& [region, permille] : shares) {
+            result[region] += this->last_demand(key) * permille / whole;
+        }
+    }
+    for (const auto& [service, list] : this->moves) {
+        for (const auto& moved : list) {
+            for (const auto& [region, amount] : moved.left) {
+                result[region] += now < moved.at + this->options.cached_answer_lifetime ? amount : 0;
+            }
+        }
+    }
+    return result;
+}
+
+// ---- Order of regions ----
+
+std::uint32_t shift_controller::latency(const std::string& from, const std::string& to) const {
+    if (from == to) {
+        return 0;
+    }
+    for (const auto& entry : this->latencies) {
+        if ((entry.from == from && entry.to == to) || (entry.from == to && entry.to == from)) {
+            return std::max(1U, entry.one_way_ms);
+        }
+    }
+    return unknown_latency;
+}
+
+// Allowed regions: the own one, then by latency, then by room.
+std::vector<std::string> shift_controller::by_latency(const std::string& caller, const step& plan,
+                                                      const amount_map& loads) const {
+    std::vector<std::pair<std::pair<std::uint32_t, double>, std::string>> order;
+    for (const auto& region : plan.entry->regions) {
+        order.push_back({{this->latency(caller, region), -this->room(plan, loads, region)}, region});
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<std::string> result;
+    for (auto& [rank, region] : order) {
+        result.push_back(std::move(region));
+    }
+    return result;
+}
+
+// ---- First assignments ----
+
+std::set<std::string> shift_controller::caller_regions(const service_entry& entry) const {
+    std::set<std::string> result(entry.regions.begin(), entry.regions.end());
+    for (const auto& pair : this->latencies) {
+        result.insert({pair.from, pair.to});
+    }
+    for (const auto& [subject, limit] : this->limits.rates()) {
+        if (subject.kind == wire::resource_kind::region) {
+            result.insert(subject.subject);
+        }
+    }
+    for (const auto& [key, samples] : this->demands) {
+        result.insert(key.second);
+    }
+    return result;
+}
+
+// The nearest allowed region that is known to have live targets; without measurements the nearest allowed one.
+std::string shift_controller::first_region(const std::string& caller, const std::string& service,
+                                           const service_entry& entry, time_point now) const {
+    std::pair<std::pair<bool, std::uint32_t>, std::string> best{{true, unknown_latency}, entry.regions.front()};
+    for (const auto& region : entry.regions) {
+        auto samples = this->capacities.find({service, region});
+        bool alive = false;
+        for (std::size_t i = 0; samples != this->capacities.end() && i < samples->second.size(); ++i) {
+            const capacity_sample& sample = std::next(samples->second.begin(), static_cast<std::ptrdiff_t>(i))->second;
+            alive = alive || (sample.live > 0 && this->fresh(sample.taken_at, now));
+        }
+        best = std::min(best, {{!alive, this->latency(caller, region)}, region});
+    }
+    return best.second;
+}
+
+void shift_controller::first_assignments(const std::string& service, const service_entry& entry, time_point now,
+                                         std::vector<wire::assignment_t>& result) {
+    for (const auto& caller : this->caller_regions(entry)) {
+        if (!entry.regions.empty() && !this->assignments.contains({service, caller})) {
+            permille_map shares{{this->first_region(caller, service, entry, now), whole}};
+            result.push_back(to_assignment(service, caller, shares));
+        }
+    }
+}
+
+wire::assignment_t shift_controller::to_assignment(const std::string& service, const std::string& caller,
+                                                   const permille_map& shares) {
+    wire::assignment_t result;
+    result.service = service;
+    result.caller_region = caller;
+    for (const auto& [region, permille] : shares) {
+        if (permille > 0) {
+            auto& share = result.shares.emplace_back(std::make_unique<wire::region_share_t>());
+            share->region = region;
+            share->permille = permille;
+        }
+    }
+    return result;
+}
+
+// ---- One step of a service ----
+
+std::vector<wire::assignment_t> shift_controller::decide(time_point now) {
+    std::vector<wire::assignment_t> result;
+    if (!this->leading) {
+        return result;
+    }
+    amount_map loads = this->total_load(now);
+    for (const auto& [service, entry] : this->services) {
+        auto waiting = this->pending.find(service);
+        if (waiting != this->pending.end() && now < waiting->second + pending_timeout) {
+            continue;
+        }
+        std::size_t before = result.size();
+        this->first_assignments(service, entry, now, result);
+        if (result.size() > before) {
+            this->pending[service] = now;
+            continue;
+        }
+        step plan;
+        plan.service = service;
+        plan.entry = &entry;
+        if (!this->prepare(plan, now)) {
+            this->states[service].state = shift_state::measurements_stale;
+            continue;
+        }
+        this->relieve(plan, loads);
+        this->improve(plan, loads);
+        this->finish(plan, now, result);
+    }
+    return result;
+}
+
+bool shift_controller::prepare(step& plan, time_point now) {
+    for (const auto& [key, shares] : this->assignments) {
+        if (key.first == plan.service) {
+            plan.shares[key.second] = shares;
+        }
+    }
+    this->set_budget(plan, now);
+    if (!this->read_demand(plan, now)) {
+        return false;
+    }
+    for (const auto& [caller, shares] : plan.shares) {
+        for (const auto& [region, permille] : shares) {
+            plan.load[region] += plan.demand[caller] * permille / whole;
+        }
+    }
+    for (const auto& moved : this->moves[plan.service]) {
+        for (const auto& [region, amount] : moved.left) {
+            plan.leaving[region] += now < moved.at + this->options.cached_answer_lifetime ? amount : 0;
+        }
+    }
+    return this->read_capacity(plan, now);
+}
+
+// A move takes effect between its decision and the end of the cached answers' lifetime, so every move of the last
+// interval and lifetime may fall into one interval with a new one.
+void shift_controller::set_budget(step& plan, time_point now) {
+    duration window = plan.entry->interval + this->options.cached_answer_lifetime;
+    auto& list = this->moves[plan.service];
+    while (!list.empty() && now > list.front().at + window) {
+        list.pop_front();
+    }
+    double cap = plan.entry->max_permille / double{whole};
+    double used = 0;
+    double cold_used = 0;
+    for (const auto& moved : list) {
+        used += moved.share;
+        cold_used += moved.cold_share;
+    }
+    this->states[plan.service].moved_permille = static_cast<std::uint32_t>(std::lround(used * whole));
+    bool known = this->known_since && now > *this->known_since + window;
+    plan.budget = known ? std::max(0.0, cap - used) : 0;
+    plan.cold_budget = std::min(plan.budget, std::max(0.0, cap * cold_part - cold_used));
+}
+
+void shift_controller::finish(step& plan, time_point now, std::vector<wire::assignment_t>& result) {
+    shift_status& status = this->states[plan.service];
+    if (plan.changed.empty()) {
+        bool capped = plan.blocked && plan.budget * whole < 1;
+        status.state = !plan.blocked ? shift_state::settled : capped ? shift_state::cap_used : shift_state::no_room;
+        return;
+    }
+    status.state = shift_state::moving;
+    plan.moved.at = now;
+    status.moved_permille += static_cast<std::uint32_t>(std::lround(plan.moved.share * whole));
+    this->moves[plan.service].push_back(std::move(plan.moved));
+    this->pending[plan.service] = now;
+    for (const auto& caller : plan.changed) {
+        permille_map& shares = plan.shares[caller];
+        std::erase_if(shares, [](const auto& share) { return share.second == 0; });
+        this->decided[{plan.service, caller}] = shares;
+        result.push_back(to_assignment(plan.service, caller, shares));
+    }
+}
+
+// ---- Moving traffic ----
+
+// Traffic of the service above what the region can take; all of it when the region may not or cannot serve it.
+double shift_controller::excess(const step& plan, const amount_map& loads, const std::string& region) const {
+    double load = value_of(plan.load, region);
+    auto capacity = plan.capacities.find(region);
+    const auto& allowed = plan.entry->regions;
+    bool usable =
+        capacity != plan.capacities.end() && std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+    if (!usable) {
+        return load;
+    }
+    double above_capacity = load - capacity->second.requests_per_second * this->options.overload;
+    double limit = this->limits.limit(region_resource(region));
+    double above_limit = value_of(loads, region) - limit * this->options.overload;
+    return std::clamp(std::max(above_capacity, above_limit), 0.0, load);
+}
+
+// Requests per second that may still be planned into a region, traffic included that has not left it yet.
+double shift_controller::room(const step& plan, const amount_map& loads, const std::string& region) const {
+    auto capacity = plan.capacities.find(region);
+    if (capacity == plan.capacities.end()) {
+        return 0;
+    }
+    double load = value_of(plan.load, region) + value_of(plan.leaving, region);
+    double within_capacity = capacity->second.requests_per_second * this->options.fill - load;
+    double limit = this->limits.limit(region_resource(region));
+    double within_limit = limit * this->options.fill - value_of(loads, region);
+    return std::max(0.0, std::min(within_capacity, within_limit));
+}
+
+// Moves at most `amount` requests per second within the budgets and the room of `to`; returns what was moved.
+double shift_controller::move(step& plan, amount_map& loads, const std::string& caller, const std::string& from,
+                              const std::string& to, double amount) const {
+    double demand = plan.demand.at(caller);
+    double weight = std::max(demand, plan.total * idle_weight) / plan.total;
+    bool cold = plan.capacities.at(to).cold;
+    double budget = cold ? std::min(plan.budget, plan.cold_budget) : plan.budget;
+    double part = std::min({amount / demand, this->room(plan, loads, to) / demand, budget / weight});
+    auto permille = static_cast<std::uint32_t>(std::clamp(part * whole + rounding, 0.0, double{whole}));
+    permille = std::min(permille, plan.shares[caller][from]);
+    if (permille == 0) {
+        return 0;
+    }
+    plan.shares[caller][from] -= permille;
+    plan.shares[caller][to] += permille;
+    plan.changed.insert(caller);
+    double share = weight * permille / whole;
+    plan.budget -= share;
+    plan.moved.share += share;
+    if (cold) {
+        plan.cold_budget -= share;
+        plan.moved.cold_share += share;
+    }
+    double moved = demand * permille / whole;
+    plan.load[from] -= moved;
+    plan.leaving[from] += moved;  // `loads` keeps it at `from` as well, until cached answers have expired
+    plan.load[to] += moved;
+    plan.moved.left[from] += moved;
+    loads[to] += moved;
+    return moved;
+}
+
+// Moves traffic out of regions that are overloaded, failed or no longer allowed; the callers furthest away first.
+void shift_controller::relieve(step& plan, amount_map& loads) const {
+    amount_map excesses;
+    for (const auto& [region, load] : plan.load) {
+        excesses[region] = this->excess(plan, loads, region);
+    }
+    for (auto& [region, left] : excesses) {
+        std::vector<std::pair<std::uint32_t, std::string>> callers;
+        for (const auto& [caller, shares] : plan.shares) {
+            if (shares.contains(region) && shares.at(region) > 0) {
+                callers.emplace_back(this->latency(caller, region), caller);
+            }
+        }
+        std::sort(callers.rbegin(), callers.rend());
+        for (const auto& [distance, caller] : callers) {
+            for (const auto& target : this->by_latency(caller, plan, loads)) {
+                if (target != region && left > 0 && plan.capacities.contains(target)) {
+                    left -= this->move(plan, loads, caller, region, target, left);
+                }
+            }
+        }
+        plan.blocked = plan.blocked || left * whole > plan.total;
+    }
+}
+
+// Moves traffic to nearer regions that have room for it.
+void shift_controller::improve(step& plan, amount_map& loads) const {
+    for (auto& [caller, shares] : plan.shares) {
+        for (const auto& [from, permille] : permille_map(shares)) {
+            for (const auto& target : this->by_latency(caller, plan, loads)) {
+                bool nearer = this->latency(caller, target) < this->latency(caller, from);
+                if (nearer && plan.capacities.contains(target)) {
+                    double amount = plan.demand.at(caller) * shares[from] / whole;
+                    this->move(plan, loads, caller, from, target, amount);
+                }
+            }
+        }
+    }
+}
+
+}  // namespace persimmongrade
