--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -147,7 +147,8 @@
         double floors_sum = 0;
         std::uint64_t floors_version = 0;  // of `floors`
         double level = 0;                  // no edge gets more than this above its floor when demand exceeds the limit
-        double spare_ratio = 0;            // extra grant per unit of need when demand is below the limit
+        double spare = 0;                  // granted to each edge beyond its need when demand is below the limit
+        double headroom = 1;               // factor on reported demand
         std::optional<time_point> level_at;
     };
     struct sent_pong {
--- a/src/limits/lease_granter.cpp
+++ b/src/limits/lease_granter.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t remembered_pongs = 16;   // 4 s at one ping per 250 ms
 constexpr std::size_t remembered_limits = 64;  // distinct limit sets kept for edges that may still use their floors
 constexpr double demand_headroom = 1.25;       // a share follows rising demand for one ping interval
-constexpr double spare_part_granted = 0.5;     // the other half is free for an edge whose demand begins
+constexpr double scarce_headroom = 1.05;       // when the limit does not cover the wider headroom
+constexpr double spare_part_granted = 0.5;     // in equal parts to all edges; the rest is free for rising demand
 constexpr duration level_age = ms(20);         // fairness, not safety, depends on the age of the level
 constexpr double unit_tolerance = 1e-9;        // of one slot
 
@@ -285,7 +286,7 @@
         return std::max(0.0, std::ceil(entry.wanted) - shares.floors[edge]);
     }
     double fill = 1 - this->current.burst(this->edge_ids.size(), subject);
-    return std::max(0.0, entry.wanted * demand_headroom / fill - shares.floors[edge]);
+    return std::max(0.0, entry.wanted * shares.headroom / fill - shares.floors[edge]);
 }
 
 // Divides the amount above the floors so that small demands are met and the others get equal shares (max-min).
@@ -293,14 +294,21 @@
     if (shares.level_at && now >= *shares.level_at && now < *shares.level_at + level_age) {
         return;
     }
-    std::vector<double> needs;
-    for (std::size_t i = 0; i < shares.accounts.size(); ++i) {
-        needs.push_back(this->need(subject, shares, i, now));
+    std::vector<double> needs(shares.accounts.size());
+    double total = 0;
+    for (double headroom : {demand_headroom, scarce_headroom}) {
+        shares.headroom = headroom;
+        for (std::size_t i = 0; i < needs.size(); ++i) {
+            needs[i] = this->need(subject, shares, i, now);
+        }
+        total = std::accumulate(needs.begin(), needs.end(), 0.0);
+        if (total <= divisible) {
+            break;
+        }
     }
     std::sort(needs.begin(), needs.end());
-    double total = std::accumulate(needs.begin(), needs.end(), 0.0);
     shares.level = unlimited;
-    shares.spare_ratio = total > 0 ? std::max(0.0, (divisible - total) * spare_part_granted / total) : 0;
+    shares.spare = std::max(0.0, divisible - total) * spare_part_granted / static_cast<double>(needs.size());
     double left = divisible;
     for (std::size_t i = 0; total > divisible && i < needs.size(); ++i) {
         double equal = left / static_cast<double>(needs.size() - i);
@@ -348,7 +356,7 @@
     }
     this->refresh_level(subject, shares, divisible, now);
     double need = this->need(subject, shares, edge, now);
-    return std::min(shares.level, need * (1 + shares.spare_ratio));
+    return std::min(shares.level, need + shares.spare);
 }
 
 double lease_granter::grant_amount(const resource& subject, std::size_t edge, time_point now) {
--- a/src/limits/lease_holder.cpp
+++ b/src/limits/lease_holder.cpp
@@ -114,7 +114,7 @@
             continue;
         }
         this->measure(entry, subject, now);
-        if (entry.wanted > 0 || entry.in_use > 0) {
+        if (is_rate(subject) || entry.wanted > 0 || entry.in_use > 0) {  // an idle rate gets a part of the spare
             auto& demand = ping.demands.emplace_back(std::make_unique<wire::resource_demand_t>());
             demand->resource = std::make_unique<wire::resource_id_t>();
             demand->resource->kind = subject.kind;
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -339,6 +339,9 @@
             return;
         }
         auto pong = std::make_shared<wire::edge_pong_t>(control.granter->answer(ping, control.clock.at(this->now)));
+        for (const auto& grant : pong->grants) {
+            this->granted_revision[{grant->resource->kind, grant->resource->subject}] = pong->committed_revision;
+        }
         this->send(i, [this, i, pong] { this->edges[i].holder->receive(*pong, this->edges[i].clock.at(this->now)); });
     }
 
@@ -352,6 +355,12 @@
                 sum += std::max(usable, edge.holder->in_use(*subject));
                 oldest = usable > 0 ? std::min(oldest, edge.holder->applied_revision()) : oldest;
             }
+            // Once a leader has granted under the newest revision, everything counted fits its limit.
+            auto granted = this->granted_revision.find(*subject);
+            if (this->options.policy == wire::without_control_policy::refuse &&
+                granted != this->granted_revision.end() && granted->second == this->revisions.size()) {
+                oldest = granted->second;
+            }
             double limit = 0;
             for (std::uint64_t r = std::max<std::uint64_t>(oldest, 1); r <= this->revisions.size(); ++r) {
                 limit = std::max(limit, this->tables[r - 1].limit(*subject));
@@ -372,6 +381,7 @@
     std::multimap<std::int64_t, std::function<void()>> network;
     std::vector<wire::configuration_t> revisions;
     std::vector<limit_table> tables;
+    std::map<resource, std::uint64_t> granted_revision;  // newest revision under which a leader granted
     int leader = -1;
     std::uint64_t term = 0;
     std::int64_t leader_until = 0;
@@ -396,6 +406,44 @@
     });
 }
 
+// Guards against clocks that differ by 1%: a granter that runs fast must not give a lease to another edge before the
+// holder, which runs slowly, has stopped to use it.
+TEST_CASE("a lease of a slow clock ends before a fast granter gives it away") {
+    const process_clock slow{0.995, 5000};
+    const process_clock fast{1.005, 9000};
+    const auto names = edge_names(2);
+    const auto configuration = make_configuration(1, 400, 64, 9);
+    lease_granter granter(names);
+    granter.apply(configuration, fast.at(0));
+    granter.become_leader(1, fast.at(0));
+    std::vector<lease_holder> holders;
+    for (const auto& name : names) {
+        holders.emplace_back(name, names).apply(configuration, slow.at(0));
+    }
+    auto ask = [&](lease_holder& holder, std::int64_t t) {
+        resource_claim claim{region, 400};
+        holder.reserve(std::span(&claim, 1), slow.at(t));
+        wire::edge_ping_t ping;
+        holder.prepare(ping, slow.at(t));
+        holder.receive(granter.answer(ping, fast.at(t)), slow.at(t));
+    };
+    for (std::int64_t t : {2500, 2750, 3000}) {
+        ask(holders[0], t);
+    }
+    REQUIRE(holders[0].usable(region, slow.at(3000)) == Approx(360));
+    for (std::int64_t t = 3001; t < 4100; ++t) {
+        ask(holders[1], t);
+        double sum = holders[0].usable(region, slow.at(t)) + holders[1].usable(region, slow.at(t));
+        REQUIRE(sum <= 400 * (1 + 1e-9));
+    }
+    REQUIRE(holders[1].usable(region, slow.at(4100)) == Approx(360));
+    int admitted = 0;
+    for (resource_claim claim{region, 1}; holders[0].reserve(std::span(&claim, 1), slow.at(4100));) {
+        ++admitted;
+    }
+    REQUIRE(admitted == 2);  // 50 ms of the floor, nothing of the expired lease
+}
+
 // Guards against capacity that stays with an idle edge while another one refuses requests.
 TEST_CASE("the share of an idle edge reaches a busy edge within two leases") {
     rc::prop("demand moves from one edge to another", [] {
