Answer rejected requests with JSON and count them

h2o answers broken lengths, encodings and oversized bodies as plain text. A filter on "/" and on the fallback path replaces the body of every answer that the handler did not produce.

--- a/include/persimmongrade/http_server.h
+++ b/include/persimmongrade/http_server.h
@@ -23,6 +23,9 @@
 struct http_server_options {
     std::size_t max_body_bytes = 1048576;
     duration request_timeout = ms(10000);  // from the first byte of a request to its last
+    // Makes the answer to a request that the HTTP layer rejects itself, from its status (400, 413 and others). The body
+    // replaces the one of h2o. Empty: a generic JSON error.
+    std::function<http_response(int status)> rejection;
 };
 
 // One request being answered. Only the first call of respond() has an effect.
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -45,7 +45,7 @@
           forwarding(this->edge, this->ledger),
           peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
                 metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
-          http(loop, ip_address::parse(this->settings.http_address), {this->settings.max_body_bytes},
+          http(loop, ip_address::parse(this->settings.http_address), this->http_options(),
                [this](http_request request, std::shared_ptr<http_exchange> exchange) {
                    this->handle(std::move(request), std::move(exchange));
                }) {
@@ -208,6 +208,19 @@
 
     // ---- HTTP ----
 
+    http_server_options http_options() {
+        http_server_options options;
+        options.max_body_bytes = this->settings.max_body_bytes;
+        options.rejection = [this](int status) {
+            constexpr int too_large = 413;
+            auto reason =
+                status == too_large ? wire::refusal_reason::request_too_large : wire::refusal_reason::bad_request;
+            this->edge.refusals.count(reason);
+            return refusal_response({reason, wire::outcome::none, "the request is malformed or too large"});
+        };
+        return options;
+    }
+
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) {
         if (request.path.starts_with("/s/")) {
             this->forwarding.handle(std::move(request), std::move(exchange));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,7 +5,6 @@
 
 #include <cerrno>
 #include <charconv>
-#include <numeric>
 
 #include "listener.h"
 #include "persimmongrade/error.h"
@@ -17,6 +16,7 @@
 
 constexpr duration close_check_period = ms(20);
 constexpr std::string_view content_length = "content-length";
+constexpr int status_too_large = 413;
 constexpr int status_caller_closed = 499;  // never reaches a caller
 
 std::string to_string(const h2o_iovec_t& text) {
@@ -36,6 +36,7 @@
 
 // What the exchanges of one server share.
 struct exchange_table {
+    h2o_req_t* answered = nullptr;  // the request that respond() is sending right now
     std::size_t open_count = 0;
     std::vector<std::weak_ptr<server_exchange>> watched;  // exchanges with a close callback
 };
@@ -67,7 +68,9 @@
             h2o_add_header_by_str(&req->pool, &req->res.headers, name.base, name.len, 1, nullptr, value.base,
                                   value.len);
         }
+        this->table.answered = req;
         h2o_send_inline(req, response.body.data(), response.body.size());
+        this->table.answered = nullptr;
     }
 
     bool closed() const override { return this->request == nullptr; }
@@ -148,6 +151,23 @@
     return request;
 }
 
+http_response default_rejection(int status) {
+    const char* type = status == status_too_large ? "request_too_large" : "bad_request";
+    return json_response(status, std::string(R"({"error":")") + type +
+                                     R"(","outcome":"none","message":"the request is malformed or too large"})");
+}
+
+// Replaces the body of an answer that h2o made itself.
+struct rejection_stream {
+    h2o_ostream_t super;
+    h2o_iovec_t body;
+
+    static void send(h2o_ostream_t* self, h2o_req_t* req, h2o_iovec_t*, size_t, h2o_send_state_t) {
+        auto* stream = reinterpret_cast<rejection_stream*>(self);
+        h2o_ostream_send_next(self, req, &stream->body, 1, H2O_SEND_STATE_FINAL);
+    }
+};
+
 }  // namespace
 
 struct http_server::impl {
@@ -156,11 +176,18 @@
         impl* owner;
     };
 
+    struct filter_object {
+        h2o_filter_t super;
+        impl* owner;
+    };
+
     h2o_globalconf_t config{};
     h2o_context_t context{};
     h2o_accept_ctx_t accept_context{};
     h2o_socket_t* listener = nullptr;
     http_handler handler;
+    std::function<http_response(int status)> rejection = default_rejection;
+    std::uint64_t rejected = 0;
     exchange_table table;
     event_loop* loop = nullptr;
     timer_id close_check_timer = 0;
@@ -195,6 +222,27 @@
         return 0;
     }
 
+    static void on_answer(h2o_filter_t* self, h2o_req_t* req, h2o_ostream_t** slot) {
+        impl* owner = reinterpret_cast<filter_object*>(self)->owner;
+        if (owner->table.answered != req) {
+            ++owner->rejected;
+            http_response response = owner->rejection(req->res.status);
+            auto* stream = reinterpret_cast<rejection_stream*>(h2o_add_ostream(req, sizeof(rejection_stream), slot));
+            stream->super.do_send = rejection_stream::send;
+            stream->body = h2o_strdup(&req->pool, response.body.data(), response.body.size());
+            req->res.content_length = response.body.size();
+            h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, H2O_STRLIT("application/json"), 1);
+            slot = &stream->super.next;
+        }
+        h2o_setup_next_ostream(req, slot);
+    }
+
+    void add_filter(h2o_pathconf_t* path) {
+        auto* object = reinterpret_cast<filter_object*>(h2o_create_filter(path, sizeof(filter_object)));
+        object->super.on_setup_ostream = on_answer;
+        object->owner = this;
+    }
+
     static void on_accept(h2o_socket_t* listener, const char* failure) {
         if (failure != nullptr) {
             return;
@@ -222,6 +270,11 @@
     auto* object = reinterpret_cast<impl::handler_object*>(h2o_create_handler(path, sizeof(impl::handler_object)));
     object->super.on_req = impl::on_request;
     object->owner = &server;
+    server.add_filter(path);
+    server.add_filter(&host->fallback_path);
+    if (options.rejection) {
+        server.rejection = options.rejection;
+    }
     h2o_context_init(&server.context, loop.native(), &server.config);
     server.accept_context.ctx = &server.context;
     server.accept_context.hosts = server.config.hosts;
@@ -252,8 +305,7 @@
 }
 
 std::uint64_t http_server::rejected_requests() const {
-    const auto& counts = this->state->context.emitted_error_status;
-    return std::accumulate(std::begin(counts), std::end(counts), std::uint64_t{0});
+    return this->state->rejected;
 }
 
 }  // namespace persimmongrade
