--- a/src/edge/edge_context.cpp
+++ b/src/edge/edge_context.cpp
@@ -24,7 +24,8 @@
       config({settings.id, incarnation, ids_of(settings.control)}),
       index(std::make_shared<const configuration_index>(std::make_shared<const wire::configuration_t>())),
       leases(settings.id, ids_of(settings.edges)), capacity(settings.region, this->leases),
-      targets({selection_method::two_random_choices, incarnation}), random(incarnation) {
+      targets({selection_method::two_random_choices, incarnation}), lookups(settings), meter(metrics, loop.now()),
+      random(incarnation) {
     for (const auto& latency : settings.simulated_latency) {
         this->latency_ms[latency->to_region] = latency->one_way_ms;
     }
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -11,6 +11,7 @@
 
 #include "admission.h"
 #include "configuration_index.h"
+#include "lookup_service.h"
 #include "persimmongrade/config_client.h"
 #include "persimmongrade/event_loop.h"
 #include "persimmongrade/http_client.h"
@@ -21,6 +22,7 @@
 #include "persimmongrade/settings.h"
 #include "persimmongrade/target_pool.h"
 #include "refusal.h"
+#include "service_meter.h"
 
 namespace persimmongrade {
 
@@ -42,6 +44,8 @@
     target_pool targets;
     retry_policy retries;
     quarantine crashes;
+    lookup_service lookups;
+    service_meter meter;
     std::map<std::string, std::uint32_t> latency_ms;  // one way, by region
     std::mt19937_64 random;
     wire::edge_state state = wire::edge_state::starting;
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <optional>
 
 #include "announcement.h"
@@ -21,6 +22,26 @@
 constexpr duration maintenance_period = ms(250);
 constexpr duration queue_period = ms(5);  // rate limits free capacity without an event
 constexpr duration stop_check_period = ms(20);
+constexpr std::size_t max_header_bytes = 16384;  // names and values of one request
+constexpr std::array<std::string_view, 7> known_methods{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"};
+
+// Checks that apply to every path. Returns the refusal of a bad request.
+std::optional<refusal> check_request(const http_request& request) {
+    if (message_bytes(request.headers, request.path.size() + request.query.size()) > max_header_bytes) {
+        return refusal{wire::refusal_reason::request_too_large, wire::outcome::none,
+                       "the header exceeds " + std::to_string(max_header_bytes) + " bytes"};
+    }
+    bool known = std::find(known_methods.begin(), known_methods.end(), request.method) != known_methods.end();
+    bool announcement = request.path == "/v1/targets";
+    bool read_only = !announcement && !request.path.starts_with("/s/");
+    bool allowed = known && (!announcement || request.method == "POST") &&
+                   (!read_only || request.method == "GET" || request.method == "HEAD");
+    if (!allowed) {
+        return refusal{wire::refusal_reason::method_not_allowed, wire::outcome::none,
+                       "method '" + request.method + "' is not allowed here"};
+    }
+    return std::nullopt;
+}
 
 }  // namespace
 
@@ -95,6 +116,7 @@
             ping.outstanding.push_back(std::make_unique<wire::target_outstanding_t>(std::move(entry)));
         }
         time_point now = this->loop.now();
+        this->edge.meter.report(ping, this->edge.index->configuration(), this->edge.targets, now);
         this->edge.leases.prepare(ping, now);
         this->perform(this->edge.config.ping(now, std::move(ping)));
     }
@@ -105,6 +127,7 @@
         }
         if (actions.applied) {
             this->edge.index = std::make_shared<const configuration_index>(this->edge.config.configuration());
+            this->edge.lookups.apply(this->edge.index->configuration());
             this->edge.leases.apply(this->edge.index->configuration(), this->loop.now());
             this->edge.targets.set_drains(this->loop.now(), this->edge.index->drained_targets());
             log_info("configuration applied", field("revision", this->edge.config.revision()));
@@ -131,6 +154,7 @@
             if (actions.pong_accepted) {
                 this->edge.leases.receive(pong, now);
                 this->live_edges = std::move(pong.edges);
+                this->edge.lookups.set_edges(this->live_edges, this->ready());
             }
             this->perform(std::move(actions));
             return;
@@ -168,6 +192,7 @@
             this->send_notices(this->edge.crashes.target_gone(now, gone.service, gone.id));
         }
         this->edge.crashes.tick(now);
+        this->edge.lookups.set_edges(this->live_edges, this->ready());  // readiness may have ended
     }
 
     void apply_update(const wire::target_update_t& update) {
@@ -222,6 +247,10 @@
     }
 
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) {
+        if (auto refused = check_request(request)) {
+            this->edge.refuse(*exchange, *refused);
+            return;
+        }
         if (request.path.starts_with("/s/")) {
             this->forwarding.handle(std::move(request), std::move(exchange));
             return;
@@ -235,21 +264,24 @@
             return;
         }
         if (request.path == "/v1/lookup") {
-            this->lookup(*exchange);
+            this->lookup(request, *exchange);
             return;
         }
         this->handle_status(request, *exchange);
     }
 
-    void lookup(http_exchange& exchange) {
-        nlohmann::json hosts = nlohmann::json::array();
-        for (const auto& info : this->live_edges) {
-            if (info->alive && info->state == wire::edge_state::serving) {
-                hosts.push_back({{"id", info->id}, {"address", info->http_address}, {"weight", 1}});
-            }
+    void lookup(const http_request& request, http_exchange& exchange) {
+        std::string service = request.query_value("service").value_or("");
+        if (this->edge.index->service(service) == nullptr) {
+            this->edge.refuse(exchange, {wire::refusal_reason::unknown_service, wire::outcome::none,
+                                         "no record declares service '" + service + "'"});
+            return;
+        }
+        try {
+            exchange.respond(this->edge.lookups.answer(request));
+        } catch (const client_block_error& reason) {
+            this->edge.refuse(exchange, {wire::refusal_reason::bad_request, wire::outcome::none, reason.what()});
         }
-        nlohmann::json body{{"ttl_ms", this->settings.lookup_ttl_ms}, {"hosts", hosts}};
-        exchange.respond(json_response(200, body.dump()));
     }
 
     void handle_status(const http_request& request, http_exchange& exchange) {
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -68,6 +68,7 @@
 void forwarder::handle(http_request request, std::shared_ptr<http_exchange> exchange) {
     try {
         execution_order order = this->read(std::move(request));
+        this->edge.meter.offered(order.service->name, order.caller_region);
         order.service->idempotent ? this->forward(std::move(order), std::move(exchange))
                                   : this->forward_once(std::move(order), std::move(exchange));
     } catch (const refused_error& reason) {
@@ -93,20 +94,23 @@
     order.deadline = this->edge.loop.now() + read_deadline(request);
     request.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
     order.fingerprint = content_fingerprint(request);
-    order.caller_region = this->edge.settings.region;
+    order.caller_region = this->edge.lookups.region_of(request.peer_ip);
     order.request = std::move(request);
     return order;
 }
 
 void forwarder::forward(execution_order order, std::shared_ptr<http_exchange> exchange) {
-    auto run = std::make_shared<execution>(this->edge, std::move(order), [this, exchange](execution_result result) {
+    time_point started = this->edge.loop.now();
+    auto done = [this, exchange, started, name = order.service->name](execution_result result) {
         exchange->on_close(nullptr);
+        this->edge.meter.ended(name, this->edge.loop.now() - started);
         if (result.response) {
             exchange->respond(std::move(*result.response));
             return;
         }
         this->edge.refuse(*exchange, result.refused);
-    });
+    };
+    auto run = std::make_shared<execution>(this->edge, std::move(order), done);
     exchange->on_close([run] { run->cancel(); });
     run->start();
 }
--- a/src/edge/once_request.cpp
+++ b/src/edge/once_request.cpp
@@ -52,7 +52,8 @@
 
 once_request::once_request(edge_context& edge, ledger_service& ledger, execution_order order,
                            std::shared_ptr<http_exchange> exchange, std::string key)
-    : edge(edge), ledger(ledger), order(std::move(order)), exchange(std::move(exchange)), key(std::move(key)) {}
+    : edge(edge), ledger(ledger), order(std::move(order)), exchange(std::move(exchange)), key(std::move(key)),
+      started_at(edge.loop.now()) {}
 
 void once_request::start() {
     auto self = this->shared_from_this();
@@ -134,6 +135,10 @@
 }
 
 void once_request::close() {
+    if (!this->closed) {
+        this->closed = true;
+        this->edge.meter.ended(this->order.service->name, this->edge.loop.now() - this->started_at);
+    }
     this->exchange->on_close(nullptr);  // the callback holds this object
 }
 
--- a/src/edge/once_request.h
+++ b/src/edge/once_request.h
@@ -39,7 +39,9 @@
     std::string key;
     refusal execution_refusal;  // detail of a refusal that the ledger reports
     timer_id deadline_timer = 0;
+    time_point started_at;
     bool caller_gone = false;
+    bool closed = false;
 };
 
 wire::stored_answer_t to_stored(const http_response& response);
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -7,6 +7,7 @@
 
 #include <unistd.h>
 
+#include "persimmongrade/capacity_lease.h"
 #include "persimmongrade/edge_server.h"
 #include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
@@ -42,6 +43,7 @@
     wire::configuration_t configuration;
     bool silent = false;
     std::map<std::string, wire::edge_ping_t> pings;  // last of each edge
+    std::optional<lease_granter> granter;            // set once the edges are known
     peer_transport peers;
 
     explicit fake_control(event_loop& loop)
@@ -57,13 +59,8 @@
         if (ping.applied_revision < this->configuration.revision) {
             this->push(ping.edge);
         }
-        wire::edge_pong_t pong;
-        pong.sequence = ping.sequence;
-        pong.incarnation = ping.incarnation;
+        wire::edge_pong_t pong = this->granter->answer(ping, this->loop.now());
         pong.leader = "control-1";
-        pong.term = 1;
-        pong.committed_revision = this->configuration.revision;
-        pong.config_lease_ms = 2000;
         for (const auto& [id, known] : this->pings) {
             auto info = std::make_unique<wire::edge_info_t>();
             info->id = id;
@@ -80,6 +77,20 @@
         this->peers.send(ping.edge, std::move(pong));
     }
 
+    void lead(std::vector<std::string> edge_ids) {
+        this->granter.emplace(std::move(edge_ids));
+        this->granter->apply(this->configuration, this->loop.now());
+        this->granter->become_leader(1, this->loop.now());
+    }
+
+    // Commits what changed in the configuration.
+    void commit() {
+        ++this->configuration.revision;
+        if (this->granter) {
+            this->granter->apply(this->configuration, this->loop.now());
+        }
+    }
+
     void push(const std::string& edge) {
         wire::config_push_t push;
         push.delta = std::make_unique<wire::configuration_delta_t>();
@@ -105,14 +116,14 @@
             this->configuration.records.front()->name = "bureau";
         }
         this->configuration.records.front()->services.push_back(std::move(service));
-        ++this->configuration.revision;
+        this->commit();
     }
 
     void drain(const std::string& target) {
         auto drain = std::make_unique<wire::target_drain_t>();
         drain->target = target;
         this->configuration.drains.push_back(std::move(drain));
-        ++this->configuration.revision;
+        this->commit();
     }
 };
 
@@ -132,6 +143,9 @@
         for (std::size_t i = 0; i < regions.size(); ++i) {
             list.push_back(peer("edge-" + std::to_string(i + 1), test_address(next_port()), regions[i]));
         }
+        std::vector<std::string> ids;
+        std::transform(list.begin(), list.end(), std::back_inserter(ids), [](const auto& edge) { return edge->id; });
+        this->control.lead(ids);
         for (const auto& self : list) {
             auto entry = std::make_unique<wire::edge_settings_t>();
             entry->cluster = "test";
