Test late, truncated, drained, expired, retried and stopped paths of the edge

A planned stop ends connections after their next answer and closes the listener once cached lookup answers have expired.

--- a/include/persimmongrade/http_server.h
+++ b/include/persimmongrade/http_server.h
@@ -48,6 +48,7 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    void close_after_answer();           // ends connections after their next answer; new connections are still accepted
     void close_listener();               // accepts no new connections; open ones are told to close after their request
     std::size_t open_exchanges() const;  // requests not yet answered
     std::uint64_t rejected_requests() const;  // malformed or oversized requests answered by the HTTP layer itself
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -58,6 +58,8 @@
     std::vector<std::unique_ptr<wire::edge_info_t>> live_edges;
     std::vector<timer_id> timers;
     std::function<void()> on_stopped;
+    time_point stop_started{};
+    timer_id stop_timer = 0;
 
     impl(event_loop& loop, wire::edge_settings_t initial, metric_registry& metrics, edge_options options)
         : loop(loop), settings(std::move(initial)), metrics(metrics),
@@ -309,16 +311,27 @@
         }
         this->on_stopped = std::move(callback);
         this->edge.state = wire::edge_state::stopping;
+        this->http.close_after_answer();
         this->ping();
-        time_point started = this->loop.now();
-        this->timers.push_back(this->loop.every(stop_check_period, [this, started] {
-            duration elapsed = this->loop.now() - started;
-            bool cached_answers_expired = elapsed >= ms(this->settings.lookup_ttl_ms);
-            bool idle = this->edge.running_requests == 0 && this->http.open_exchanges() == 0 && this->ledger.idle();
-            if ((cached_answers_expired && idle) || elapsed >= ms(this->settings.stop_timeout_ms)) {
-                this->on_stopped();
-            }
-        }));
+        this->stop_started = this->loop.now();
+        this->stop_timer = this->loop.every(stop_check_period, [this] { this->check_stopped(); });
+        this->timers.push_back(this->stop_timer);
+    }
+
+    // Cached lookup answers still send callers here until they expire.
+    void check_stopped() {
+        duration elapsed = this->loop.now() - this->stop_started;
+        bool cached_answers_expired = elapsed >= ms(this->settings.lookup_ttl_ms);
+        bool idle = this->edge.running_requests == 0 && this->http.open_exchanges() == 0 && this->ledger.idle();
+        bool late = elapsed >= ms(this->settings.stop_timeout_ms);
+        if (cached_answers_expired) {
+            this->http.close_listener();
+        }
+        if ((cached_answers_expired && idle) || late) {
+            log_info("planned stop", field("idle", idle), field("elapsed_ms", elapsed.count()));
+            this->loop.cancel(this->stop_timer);
+            this->on_stopped();
+        }
     }
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -292,11 +292,15 @@
     retain_until_exit(std::move(this->state));
 }
 
+void http_server::close_after_answer() {
+    h2o_context_request_shutdown(&this->state->context);
+}
+
 void http_server::close_listener() {
     if (this->state->listener != nullptr) {
         h2o_socket_close(this->state->listener);
         this->state->listener = nullptr;
-        h2o_context_request_shutdown(&this->state->context);
+        this->close_after_answer();
     }
 }
 
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -1,4 +1,5 @@
-// Guards the request path of one edge against late, truncated and oversized answers, drains and expired leases.
+// Guards the request path of edges: whole answers of the right request only, drains, expired leases, retries,
+// at-most-once execution and the planned stop.
 
 #include "edge_fixture.h"
 #include "persimmongrade/uuid.h"
@@ -59,3 +60,179 @@
     CHECK(reused.body.find("key_reused") != std::string::npos);
     CHECK(target.executed == 1);
 }
+
+// Guards R3: an answer that arrives after its request was given up must not become the answer of the next one.
+TEST_CASE("a late answer never reaches another request") {
+    edge_fixture edge;
+    ip_address address = test_address(next_port());
+    std::vector<std::shared_ptr<http_exchange>> held;
+    http_server target(edge.loop, address, {}, [&](const http_request& request, const auto& exchange) {
+        held.push_back(exchange);
+        if (request.path == "/second") {
+            held.front()->respond({200, {}, "first"});
+            exchange->respond({200, {}, "second"});
+        }
+    });
+    edge.announce("t1", "lookups", address);
+    http_response first = edge.call("GET", "/s/lookups/first", {{"persimmon-deadline-ms", "100"}});
+    CHECK(first.status == 504);
+    CHECK(first.body.find("deadline_exceeded") != std::string::npos);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(edge.call("GET", "/s/lookups/second").body == "second");
+    }
+}
+
+TEST_CASE("truncated and oversized answers are typed errors") {
+    edge_fixture edge;
+    ip_address address = test_address(next_port());
+    http_server target(edge.loop, address, {}, [&](const http_request& request, const auto& exchange) {
+        bool truncate = request.path == "/truncated";
+        std::string length = std::to_string(truncate ? 200 : 20000);
+        exchange->respond({200, {{"content-length", length}}, std::string(truncate ? 100 : 20000, 'x')});
+    });
+    edge.announce("t1", "lookups", address);
+    http_response truncated = edge.call("GET", "/s/lookups/truncated");
+    CHECK(truncated.status == 502);
+    CHECK(truncated.body.find(R"("error":"answer_truncated")") != std::string::npos);
+    http_response oversized = edge.call("GET", "/s/lookups/oversized");
+    CHECK(oversized.status == 502);
+    CHECK(oversized.body.find(R"("error":"answer_too_large")") != std::string::npos);
+    CHECK(edge.metric("persimmongrade_refusals_total{reason=\"answer_truncated\"}") == 1);
+    CHECK(edge.metric("persimmongrade_refusals_total{reason=\"answer_too_large\"}") == 1);
+}
+
+// Guards R6 and R7: a drain stops new work and cuts no request in flight.
+TEST_CASE("a drained target finishes its request and receives no new work") {
+    edge_fixture edge;
+    ip_address address = test_address(next_port());
+    std::vector<std::shared_ptr<http_exchange>> held;
+    http_server target(edge.loop, address, {},
+                       [&](const http_request&, const auto& exchange) { held.push_back(exchange); });
+    edge.announce("t1", "lookups", address);
+    std::optional<http_call_result> in_flight;
+    edge.client.send({edge.http_address(), "GET", "/s/lookups/a"},
+                     [&](http_call_result result) { in_flight = result; });
+    edge.wait_until([&] { return held.size() == 1; });
+    edge.control.drain("t1");
+    edge.loop.run_for(ms(400));
+    CHECK(edge.call("GET", "/s/lookups/b").body.find(R"("error":"no_target")") != std::string::npos);
+    CHECK(held.size() == 1);
+    held.front()->respond({200, {}, "whole"});
+    edge.wait_until([&] { return in_flight.has_value(); });
+    CHECK(in_flight->response.body == "whole");
+}
+
+// Guards R4 and R6: without a configuration lease nothing is sent, and the refusal says so.
+TEST_CASE("an expired configuration lease refuses with not_run") {
+    edge_fixture edge({"north", "central", "south"});
+    counting_target lookups(edge.loop);
+    counting_target orders(edge.loop);
+    edge.announce("t1", "lookups", lookups.address);
+    edge.announce("t2", "orders", orders.address);
+    edge.control.silent = true;
+    edge.loop.run_for(ms(2100));
+    edge.announce("t1", "lookups", lookups.address);
+    edge.announce("t2", "orders", orders.address);
+    std::string key = make_uuid_v7(unix_time_ms());
+    for (const http_response& refused :
+         {edge.call("GET", "/s/lookups/a"), edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, "lamp")}) {
+        CHECK(refused.status == 503);
+        CHECK(refused.body.find(R"("error":"configuration_lease_expired")") != std::string::npos);
+        CHECK(refused.body.find(R"("outcome":"not_run")") != std::string::npos);
+    }
+    CHECK(lookups.executed + orders.executed == 0);
+    CHECK(edge.call("GET", "/readyz").status == 503);
+    edge.control.silent = false;
+    edge.wait_until([&] { return edge.edges[0]->ready(); });
+    CHECK(edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, "lamp").body == "booking 1");
+}
+
+// Guards R5: only an attempt that provably did not run is repeated for a non-idempotent request.
+TEST_CASE("a shed or unconnected attempt moves to another target, a lost one does not") {
+    edge_fixture edge({"north", "central", "south"});
+    counting_target good(edge.loop);
+    ip_address address = test_address(next_port());
+    http_server shedding(edge.loop, address, {}, [](const http_request&, const auto& exchange) {
+        exchange->respond({503, {{"persimmon-not-run", "1"}}, ""});
+    });
+    edge.announce("good", "orders", good.address);
+    edge.announce("shedding", "orders", address);
+    edge.announce("absent", "orders", test_address(next_port()));
+    std::uint32_t answered = 0;
+    for (int i = 0; i < 8; ++i) {
+        std::string key = make_uuid_v7(unix_time_ms());
+        http_response response = edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, std::to_string(i));
+        bool booked = response.status == 200;
+        CHECK((booked || response.body.find(R"("outcome":"not_run")") != std::string::npos));
+        answered += booked ? 1 : 0;
+    }
+    CHECK(good.executed == answered);
+    CHECK(edge.metric("persimmongrade_retries_total{reason=\"connect_failed\"}") +
+              edge.metric("persimmongrade_retries_total{reason=\"shed\"}") >
+          0);
+}
+
+TEST_CASE("a lost result is reported as unknown and never run again; a late one is replayed") {
+    edge_fixture edge({"north", "central", "south"});
+    ip_address address = test_address(next_port());
+    std::vector<std::shared_ptr<http_exchange>> held;
+    http_server target(edge.loop, address, {},
+                       [&](const http_request&, const auto& exchange) { held.push_back(exchange); });
+    edge.announce("t1", "orders", address);
+    auto book = [&](const std::string& key) {
+        return edge.call("POST", "/s/orders/a", {{"idempotency-key", key}, {"persimmon-deadline-ms", "200"}}, "lamp",
+                         1);
+    };
+    std::string late = make_uuid_v7(unix_time_ms());
+    CHECK(book(late).body.find(R"("outcome":"unknown")") != std::string::npos);
+    REQUIRE(held.size() == 1);
+    held[0]->respond({200, {}, "late booking"});
+    edge.loop.run_for(ms(100));
+    CHECK(book(late).body == "late booking");
+    std::string lost = make_uuid_v7(unix_time_ms());
+    CHECK(book(lost).body.find(R"("outcome":"unknown")") != std::string::npos);
+    edge.loop.run_for(ms(1200));
+    edge.announce("t1", "orders", address);
+    CHECK(book(lost).body.find(R"("error":"outcome_unknown")") != std::string::npos);
+    CHECK(held.size() == 2);
+}
+
+TEST_CASE("a caller that goes away cancels its call to the target") {
+    edge_fixture edge;
+    ip_address address = test_address(next_port());
+    std::shared_ptr<http_exchange> held;
+    http_server target(edge.loop, address, {}, [&](const http_request&, const auto& exchange) {
+        held = exchange;
+        exchange->on_close([] {});
+    });
+    edge.announce("t1", "lookups", address);
+    call_id id = edge.client.send({edge.http_address(), "GET", "/s/lookups/a"}, [](const http_call_result&) {});
+    edge.wait_until([&] { return held != nullptr; });
+    edge.client.cancel(id);
+    edge.wait_until([&] { return held->closed(); }, ms(300));
+}
+
+// Guards R7: a planned stop answers what is in flight, and new callers are sent elsewhere first.
+TEST_CASE("a planned stop leaves the lookups, finishes its requests and calls back") {
+    edge_fixture edge({"north", "central"});
+    ip_address address = test_address(next_port());
+    std::shared_ptr<http_exchange> held;
+    http_server target(edge.loop, address, {}, [&](const http_request&, const auto& exchange) { held = exchange; });
+    edge.announce("t1", "lookups", address);
+    std::optional<http_call_result> in_flight;
+    edge.client.send({edge.http_address(), "GET", "/s/lookups/a"},
+                     [&](http_call_result result) { in_flight = result; });
+    edge.wait_until([&] { return held != nullptr; });
+    bool stopped = false;
+    edge.edges[0]->stop([&] { stopped = true; });
+    edge.loop.run_for(ms(400));
+    CHECK_FALSE(stopped);
+    for (std::size_t i : {0, 1}) {
+        http_response lookup = edge.call("GET", "/v1/lookup?service=lookups&client=203.0.113.9", {}, "", i);
+        CHECK(lookup.body.find("edge-1") == std::string::npos);
+        CHECK(lookup.body.find("edge-2") != std::string::npos);
+    }
+    held->respond({200, {}, "whole"});
+    edge.wait_until([&] { return in_flight.has_value() && stopped; });
+    CHECK(in_flight->response.body == "whole");
+}
