Grant capacity leases in edge pongs

The leader's granter follows the published revision, because edges see only published ones. A follower tells its granter of each change of limits with the time at which the leader has published it at the latest, so that a new leader counts old floors long enough. Pings that were overtaken get no answer, as in the granter.

--- a/include/persimmongrade/distribution.h
+++ b/include/persimmongrade/distribution.h
@@ -3,10 +3,11 @@
 //
 //     distribution distributor(options, edge_ids, store);
 //     send(distributor.set_authority(now, unix_now_ms, {.serving = true, .term = 7}));   // at each change and tick
+//     distributor.publish_if_due(now);
+//     if (distributor.published_revision() != granter.revision()) { granter.apply(store.configuration(), now); }
 //     send(distributor.on_ping(now, ping, granter.answer(ping, now)));
 //     send(distributor.on_ack(now, ack));
-//     send(distributor.tick(now));                       // every 50 ms, and after committed commands were applied
-//     if (distributor.published_revision() != before) { granter.apply(store.configuration(), now); }
+//     send(distributor.tick(now));                       // every 20 ms, and after committed commands were applied
 //
 // Publication. Edges see only published revisions. A change is published at once when the last publication is at
 // least `publish_interval` ago, otherwise when that time has passed. A lease needs the published revision; without
@@ -75,14 +76,16 @@
 
     // Events
     void set_authority(time_point now, std::int64_t unix_now_ms, const leader_authority& authority);
+    void publish_if_due(time_point now);  // call before a granter answers a ping
     std::vector<peer_message> tick(time_point now);
     // `pong` carries the lease grants. The edge is answered with not_leader when this process is not serving.
-    // Pings of unknown edges and of older incarnations are not answered.
+    // Pings of unknown edges and of older incarnations, and pings that were overtaken, are not answered.
     std::vector<peer_message> on_ping(time_point now, const wire::edge_ping_t& ping, wire::edge_pong_t pong);
     std::vector<peer_message> on_ack(time_point now, const wire::config_ack_t& ack);
 
     // State; meaningful only while serving
     bool serving() const noexcept { return this->authority.serving; }
+    std::uint64_t term() const noexcept { return this->authority.term; }  // last term in which it was serving
     std::uint64_t published_revision() const noexcept { return this->published; }
     std::vector<std::string> not_in_force(time_point now, std::uint64_t revision) const;  // edges; empty: in force
     std::vector<wire::edge_info_t> edges(time_point now) const;
@@ -91,6 +94,7 @@
 private:
     struct edge_entry {
         wire::edge_info_t info;                            // as of the last ping
+        std::uint64_t last_sequence = 0;                   // of the last ping
         bool heard = false;                                // in this term
         time_point last_ping{};                            // valid when heard
         std::uint64_t applied = 0;                         // highest revision acknowledged by this incarnation
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -7,6 +7,7 @@
 
 #include "consensus_driver.h"
 #include "operator_api.h"
+#include "persimmongrade/capacity_lease.h"
 #include "persimmongrade/distribution.h"
 #include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
@@ -29,7 +30,9 @@
 namespace {
 
 constexpr duration consensus_tick = ms(10);
-constexpr duration distribution_tick = ms(20);     // bounds the delay of a publication
+constexpr duration distribution_tick = ms(20);  // bounds the delay of a publication
+// A follower does not know when the leader publishes a revision: at the latest this long after it was committed.
+constexpr duration publication_delay = distribution_options{}.publish_interval + 2 * distribution_tick;
 constexpr duration submission_timeout = ms(5000);  // then the answer is outcome_unknown
 constexpr duration watch_timeout = ms(25000);      // a watch without changes is answered after this
 constexpr std::size_t max_pending_submissions = 10000;
@@ -87,6 +90,8 @@
     metric_registry metrics;
     record_store store;
     distribution distributor;
+    lease_granter granter;
+    std::uint64_t granter_term = 0;  // in which the granter became leader
     consensus_driver<impl> log;
     peer_transport peers;
     http_server http;
@@ -100,12 +105,14 @@
     bool is_stopping = false;
     prometheus::Counter& submissions;
     prometheus::Counter& refusals;
+    prometheus::Counter& unknown_edges;
     prometheus::Gauge& revision_gauge;
     prometheus::Gauge& leader_gauge;
     prometheus::Gauge& term_gauge;
 
     impl(event_loop& loop, wire::control_settings_t given, const control_options& options)
         : loop(loop), settings(std::move(given)), distributor({}, edge_ids(this->settings), this->store),
+          granter(edge_ids(this->settings)),
           log(*this, log_options(this->settings), data_options(this->settings, options), loop.now()),
           peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
                 this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
@@ -116,6 +123,8 @@
           client(loop),
           submissions(this->metrics.counter("persimmongrade_submissions_total", "Submissions put into the log.")),
           refusals(this->metrics.counter("persimmongrade_operator_refusals_total", "Refused operator requests.")),
+          unknown_edges(this->metrics.counter("persimmongrade_unknown_edge_pings_total",
+                                              "Pings of edges that are not in the settings.")),
           revision_gauge(this->metrics.gauge("persimmongrade_revision", "Revision of the applied configuration.")),
           leader_gauge(this->metrics.gauge("persimmongrade_leader", "1 while this process serves as leader.")),
           term_gauge(this->metrics.gauge("persimmongrade_term", "Consensus term.")) {
@@ -341,7 +350,12 @@
         if (entry.kind != wire::entry_kind::command) {
             return;
         }
-        wire::submission_result_t result = this->store.apply(decode_command(entry.payload));
+        wire::command_t command = decode_command(entry.payload);
+        std::uint64_t before = this->store.revision();
+        wire::submission_result_t result = this->store.apply(command);
+        if (this->store.revision() != before && !this->distributor.serving() && changes_limits(command)) {
+            this->tell_granter(this->loop.now() + publication_delay);
+        }
         if (node.empty() || !node.mapped().request.exchange) {
             return;
         }
@@ -353,6 +367,15 @@
         node.mapped().request.exchange->respond(result_response(result));
     }
 
+    static bool changes_limits(const wire::command_t& command) {
+        return command.body.Assubmit_record() != nullptr || command.body.Aswithdraw_record() != nullptr;
+    }
+
+    // `superseded_at`: when the leader has at the latest stopped granting on older revisions.
+    void tell_granter(time_point superseded_at, bool skipped = false) {
+        this->granter.apply(this->store.configuration(), superseded_at, skipped);
+    }
+
     void batch_applied() {
         this->revision_gauge.Set(static_cast<double>(this->store.revision()));
         this->distribute();
@@ -361,7 +384,10 @@
 
     void send(const std::string& to, wire::messageUnion body) { this->peers.send_message(to, std::move(body)); }
 
-    void install_state(const byte_string& bytes) { this->store = record_store::restore(bytes); }
+    void install_state(const byte_string& bytes) {
+        this->store = record_store::restore(bytes);
+        this->tell_granter(this->loop.now() + publication_delay, true);
+    }
 
     byte_string save_state() const { return this->store.snapshot(); }
 
@@ -372,6 +398,8 @@
         if (change == leadership_change::gained) {
             return;
         }
+        this->granter.step_down();
+        this->tell_granter(this->loop.now() + publication_delay);
         auto lost = std::exchange(this->proposed, {});
         for (auto& [index, entry] : lost) {
             this->answer_unknown(entry.request, "the leader changed");
@@ -398,10 +426,41 @@
         this->refresh_authority();
         time_point now = this->loop.now();
         this->send_all(this->distributor.tick(now));
+        this->follow_publication(now);
         this->expire_submissions(now);
         this->expire_watches(now);
     }
 
+    // Lets the granter know what the distributor has published, and the term in which it may grant.
+    void follow_publication(time_point now) {
+        if (!this->distributor.serving()) {
+            return;
+        }
+        if (this->granter.revision() != this->distributor.published_revision()) {
+            this->tell_granter(now);
+        }
+        if (this->granter_term != this->distributor.term()) {
+            this->granter_term = this->distributor.term();
+            this->granter.become_leader(this->granter_term, now);
+        }
+    }
+
+    void answer_ping(time_point now, const wire::edge_ping_t& ping) {
+        wire::edge_pong_t pong;
+        if (this->refresh_authority()) {
+            this->distributor.publish_if_due(now);
+            this->follow_publication(now);
+            try {
+                pong = this->granter.answer(ping, now);
+            } catch (const unknown_edge_error& failure) {
+                this->unknown_edges.Increment();
+                return;
+            }
+        }
+        this->send_all(this->distributor.on_ping(now, ping, std::move(pong)));
+        this->follow_publication(now);
+    }
+
     void send_all(std::vector<peer_message> messages) {
         for (peer_message& message : messages) {
             this->peers.send_message(message.to, std::move(message.body));
@@ -411,11 +470,11 @@
     void receive(const wire::envelope_t& envelope) {
         time_point now = this->loop.now();
         if (const auto* ping = envelope.body.Asedge_ping()) {
-            this->refresh_authority();
-            this->send_all(this->distributor.on_ping(now, *ping, {}));
+            this->answer_ping(now, *ping);
         } else if (const auto* ack = envelope.body.Asconfig_ack()) {
             this->refresh_authority();
             this->send_all(this->distributor.on_ack(now, *ack));
+            this->follow_publication(now);
         } else {
             this->log.receive(now, envelope.from, envelope.body);
         }
--- a/src/control/distribution.cpp
+++ b/src/control/distribution.cpp
@@ -63,14 +63,18 @@
     this->published_at = now;
 }
 
+void distribution::publish_if_due(time_point now) {
+    if (this->authority.serving && this->publish_due(now)) {
+        this->publish(now);
+    }
+}
+
 std::vector<peer_message> distribution::tick(time_point now) {
     std::vector<peer_message> messages;
     if (!this->authority.serving) {
         return messages;
     }
-    if (this->publish_due(now)) {
-        this->publish(now);
-    }
+    this->publish_if_due(now);
     for (auto& [id, entry] : this->entries) {
         this->push_if_behind(now, entry, messages);
     }
@@ -132,6 +136,10 @@
         return messages;
     }
     edge_entry& entry = found->second;
+    bool overtaken = entry.heard && ping.incarnation == entry.info.incarnation && ping.sequence <= entry.last_sequence;
+    if (overtaken) {
+        return messages;
+    }
     this->update_entry(now, entry, ping);
     bool current = ping.applied_revision >= this->published;
     pong.sequence = ping.sequence;
@@ -161,6 +169,7 @@
     }
     entry.heard = true;
     entry.last_ping = now;
+    entry.last_sequence = ping.sequence;
     entry.applied = std::max(entry.applied, ping.applied_revision);
     entry.reported = ping.applied_revision;
     entry.info.incarnation = ping.incarnation;
