--- a/tools/persimmonctl.cpp
+++ b/tools/persimmonctl.cpp
@@ -286,7 +286,10 @@
         call_outcome outcome = caller.call(request);
         last = outcome.answered ? body_of(outcome) : last;
         if (outcome.answered && last.value("in_force", false)) {
-            print(given, {{"revision", revision}, {"in_force", true}});
+            print(given, {{"status", "accepted"},
+                          {"submission_id", given.submission_id},
+                          {"revision", revision},
+                          {"in_force", true}});
             return exit_code::done;
         }
         caller.pause(poll_interval);
@@ -294,6 +297,7 @@
     print(given, {{"error", "not_in_force"},
                   {"outcome", "none"},
                   {"message", "accepted, but not yet in force on the listed edges"},
+                  {"submission_id", given.submission_id},
                   {"revision", revision},
                   {"in_force", false},
                   {"not_in_force", last.value("not_in_force", json::array())}});
@@ -303,9 +307,8 @@
 exit_code change(const options& given, control_caller& caller, http_call request) {
     request.headers.push_back({"submission-id", given.submission_id});
     call_outcome outcome = caller.call(request);
-    exit_code code = report(given, outcome);
-    if (code != exit_code::done || !given.wait) {
-        return code;
+    if (!given.wait || !outcome.answered || code_of(outcome) != exit_code::done) {
+        return report(given, outcome);
     }
     return wait_in_force(given, caller, body_of(outcome).value("revision", std::uint64_t{0}));
 }
