--- a/include/persimmongrade/retry_policy.h
+++ b/include/persimmongrade/retry_policy.h
@@ -40,7 +40,8 @@
     bool operator==(const retry_decision&) const = default;
 };
 
-// Retries granted in any window of 10 s are at most 10% of the successes counted in it, plus 1 per second.
+// A retry is granted only while the retries of the last 10 s (whole seconds), it included, are at most 10% of the
+// successes of the same time plus 1 per second.
 class retry_policy {
 public:
     void succeeded(time_point now);  // a target answered a first or later attempt
--- a/include/persimmongrade/target_pool.h
+++ b/include/persimmongrade/target_pool.h
@@ -115,6 +115,7 @@
     std::optional<target_choice> pick_if(time_point now, std::string_view service,
                                          const std::vector<std::string>& regions,
                                          const std::vector<std::string>& excluded, Usable usable) {
+        this->keep_minimum_of(now, service);
         return this->choose(this->candidates(now, service, regions, excluded, usable));
     }
 
@@ -155,6 +156,7 @@
                  const std::vector<std::string>& excluded) const;
     void record_failure(time_point now, service_targets& pool, target& which) const;
     void keep_minimum(time_point now, service_targets& pool) const;
+    void keep_minimum_of(time_point now, std::string_view service);  // leases may have ended since tick()
     void keep_all_minimums(time_point now);
     wire::target_info_t with_lease(time_point now, const target& which) const;
     double score(time_point now, const target& which, double mean_latency_ms) const;
--- a/src/request/target_pool.cpp
+++ b/src/request/target_pool.cpp
@@ -236,6 +236,18 @@
     }
 }
 
+void target_pool::keep_minimum_of(time_point now, std::string_view service) {
+    auto pool = this->by_service.find(service);
+    if (pool == this->by_service.end()) {
+        return;
+    }
+    bool ejected = std::any_of(pool->second.begin(), pool->second.end(),
+                               [now](const auto& entry) { return now < entry.second.ejected_until; });
+    if (ejected) {
+        this->keep_minimum(now, pool->second);
+    }
+}
+
 void target_pool::keep_all_minimums(time_point now) {
     for (auto& [service, pool] : this->by_service) {
         this->keep_minimum(now, pool);
--- /dev/null
+++ b/tests/request/test_ledger_rules.cpp
@@ -0,0 +1,182 @@
+// Guards single rules of the ledger that generated histories reach too seldom, and measures the cost of a claim.
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+#include "persimmongrade/ledger.h"
+#include "persimmongrade/uuid.h"
+
+using namespace persimmongrade;
+
+namespace {
+
+constexpr std::int64_t unix_offset = 1'790'000'000'000;
+const time_point start = time_point(ms(1'000'000));
+const ledger_members three{{{"a1", "a"}, {"b1", "b"}, {"c1", "c"}}, {}};
+
+std::string key_at(time_point now) {
+    std::mt19937_64 random(7);
+    return make_uuid_v7(now.time_since_epoch().count() + unix_offset, random);
+}
+
+ledger_coordinator coordinator_with(const ledger_members& members) {
+    return {{"a1", 1, unix_offset}, members};
+}
+
+ledger_replica replica_of(const std::string& edge, const ledger_members& members, bool first_start) {
+    return {start, {edge, 1, unix_offset, first_start}, members};
+}
+
+wire::claim_reply_t grant(const ledger_message& message) {
+    const auto& request = std::get<wire::claim_request_t>(message.body);
+    wire::claim_reply_t reply;
+    reply.request_id = request.request_id;
+    reply.key = request.entry->key;
+    reply.replica = message.to;
+    reply.incarnation = 1;
+    reply.result = wire::claim_result::granted;
+    reply.entry = std::make_unique<wire::ledger_entry_t>(*request.entry);
+    return reply;
+}
+
+bool dispatches(const ledger_actions& actions) {
+    for (const auto& outcome : actions.outcomes) {
+        if (outcome.verdict == ledger_verdict::dispatch) {
+            return true;
+        }
+    }
+    return false;
+}
+
+wire::claim_request_t claim_of(const std::string& key, const std::string& edge, std::uint64_t number) {
+    wire::claim_request_t request;
+    request.request_id = number;
+    request.entry = std::make_unique<wire::ledger_entry_t>();
+    request.entry->key = key;
+    request.entry->service = "crew";
+    request.entry->fingerprint = 1;
+    request.entry->attempt = std::make_unique<wire::attempt_id_t>();
+    request.entry->attempt->edge = edge;
+    request.entry->attempt->number = number;
+    return request;
+}
+
+wire::claim_result claim_on(ledger_replica& replica, time_point now, const std::string& key, const std::string& edge,
+                            std::uint64_t number) {
+    auto replies = replica.receive(now, edge, claim_of(key, edge, number));
+    return std::get<wire::claim_reply_t>(replies.at(0).body).result;
+}
+
+// Answers the page requests of `to` from `sources` until there are none.
+void copy_all(time_point now, ledger_replica& to, std::map<std::string, ledger_replica*> sources) {
+    for (auto requests = to.tick(now); !requests.empty();) {
+        auto request = requests.back();
+        requests.pop_back();
+        for (const auto& reply : sources.at(request.to)->receive(now, "a1", request.body)) {
+            auto more = to.receive(now, request.to, reply.body);
+            requests.insert(requests.end(), more.begin(), more.end());
+        }
+    }
+}
+
+}  // namespace
+
+TEST_CASE("a claim reply to an earlier attempt of the key does not count", "[ledger]") {
+    auto coordinator = coordinator_with(three);
+    std::string key = key_at(start);
+    auto first = coordinator.begin(start, {1, key, "crew", 1, start + ms(2000)});
+    REQUIRE(first.messages.size() == 3);
+    coordinator.receive(start, "a1", grant(first.messages[0]));
+    REQUIRE(dispatches(coordinator.receive(start, "b1", grant(first.messages[1]))));
+    coordinator.not_dispatched(start + ms(1), 1, wire::refusal_reason::target_shed);
+    auto second = coordinator.begin(start + ms(2), {2, key, "crew", 1, start + ms(2000)});
+    for (const auto& message : first.messages) {
+        CHECK_FALSE(dispatches(coordinator.receive(start + ms(3), message.to, grant(message))));
+    }
+    coordinator.receive(start + ms(3), "a1", grant(second.messages[0]));
+    CHECK(dispatches(coordinator.receive(start + ms(3), "b1", grant(second.messages[1]))));
+}
+
+TEST_CASE("claims do not count after the claim window, when a restarted replica may vote again", "[ledger]") {
+    static_assert(ledger_settle_time > ledger_claim_window + clock_fixed_margin + ledger_claim_window / 100);
+    auto coordinator = coordinator_with(three);
+    auto begun = coordinator.begin(start, {1, key_at(start), "crew", 1, start + ms(5000)});
+    coordinator.receive(start, "a1", grant(begun.messages[0]));
+    auto late = start + ledger_claim_window + ms(1);
+    CHECK_FALSE(dispatches(coordinator.receive(late, "b1", grant(begun.messages[1]))));
+    CHECK(coordinator.tick(late).outcomes.at(0).outcome == wire::outcome::unknown);
+}
+
+TEST_CASE("a restarted replica copies only after the settle time", "[ledger]") {
+    auto replica = replica_of("a1", three, false);
+    CHECK(replica.tick(start + ledger_settle_time - ms(1)).empty());
+    CHECK(replica.tick(start + ledger_settle_time).size() == 2);
+    CHECK_FALSE(replica.voting());
+    replica.tick(start + ledger_settle_time + ledger_retention);
+    CHECK(replica.voting());
+}
+
+TEST_CASE("claims of two attempts found while copying are both kept until each is aborted", "[ledger]") {
+    auto b1 = replica_of("b1", three, true);
+    auto c1 = replica_of("c1", three, true);
+    auto a1 = replica_of("a1", three, false);
+    std::string key = key_at(start);
+    REQUIRE(claim_on(b1, start, key, "b1", 1) == wire::claim_result::granted);
+    REQUIRE(claim_on(c1, start, key, "c1", 2) == wire::claim_result::granted);
+    auto now = start + ms(2000);
+    copy_all(now, a1, {{"b1", &b1}, {"c1", &c1}});
+    REQUIRE(a1.voting());
+    wire::abort_request_t abort;
+    abort.key = key;
+    for (auto [edge, number] : {std::pair{"b1", 1}, std::pair{"c1", 2}}) {
+        CHECK(claim_on(a1, now, key, "a1", 3) == wire::claim_result::exists);
+        abort.attempt = std::make_unique<wire::attempt_id_t>();
+        abort.attempt->edge = edge;
+        abort.attempt->number = static_cast<std::uint64_t>(number);
+        a1.receive(now, edge, abort);
+    }
+    CHECK(claim_on(a1, now, key, "a1", 3) == wire::claim_result::granted);
+}
+
+TEST_CASE("while members change, a claim needs a majority of the old and of the new set", "[ledger]") {
+    ledger_members change{{{"a2", "a"}, {"b2", "b"}, {"c1", "c"}}, three.current};
+    auto coordinator = coordinator_with(change);
+    auto begun = coordinator.begin(start, {1, key_at(start), "crew", 1, start + ms(2000)});
+    REQUIRE(begun.messages.size() == 5);
+    std::map<std::string, ledger_message> by_edge;
+    for (const auto& message : begun.messages) {
+        by_edge[message.to] = message;
+    }
+    for (const char* edge : {"a2", "b2", "c1"}) {
+        CHECK_FALSE(dispatches(coordinator.receive(start, edge, grant(by_edge.at(edge)))));
+    }
+    CHECK(dispatches(coordinator.receive(start, "a1", grant(by_edge.at("a1")))));
+}
+
+TEST_CASE("keys outside the accepted time are refused with a true outcome", "[ledger]") {
+    auto coordinator = coordinator_with(three);
+    auto refusal = [&](const std::string& key) {
+        return coordinator.begin(start, {1, key, "crew", 1, start + ms(2000)}).outcomes.at(0);
+    };
+    auto expired = refusal(key_at(start - ledger_max_key_age - ms(1)));
+    CHECK(expired.reason == wire::refusal_reason::key_expired);
+    CHECK(expired.outcome == wire::outcome::unknown);
+    auto future = refusal(key_at(start + ledger_max_key_future + ms(1)));
+    CHECK(future.reason == wire::refusal_reason::key_from_future);
+    CHECK(future.outcome == wire::outcome::not_run);
+    CHECK(refusal("order-17").reason == wire::refusal_reason::idempotency_key_invalid);
+}
+
+TEST_CASE("UUID version 7 texts keep their time and others are refused", "[uuid]") {
+    std::mt19937_64 random(1);
+    for (std::int64_t time : {std::int64_t{0}, std::int64_t{1}, unix_offset, (std::int64_t{1} << 48) - 1}) {
+        CHECK(uuid_v7_time_ms(make_uuid_v7(time, random)) == time);
+    }
+    CHECK(parse_uuid_v7("017F22E2-79B0-7CC3-98C4-DC0C0C07398F") == "017f22e2-79b0-7cc3-98c4-dc0c0c07398f");
+    CHECK(uuid_v7_time_ms("017F22E2-79B0-7CC3-98C4-DC0C0C07398F") == 1645557742000);  // example of RFC 9562
+    for (const char* text : {"", "017f22e2-79b0-4cc3-98c4-dc0c0c07398f", "017f22e2-79b0-7cc3-c8c4-dc0c0c07398f",
+                             "017f22e2-79b0-7cc3-98c4-dc0c0c07398", "017f22e2x79b0-7cc3-98c4-dc0c0c07398f"}) {
+        CHECK_THROWS_AS(parse_uuid_v7(text), uuid_error);
+    }
+}
