--- a/tests/request/test_ledger_rules.cpp
+++ b/tests/request/test_ledger_rules.cpp
@@ -1,8 +1,8 @@
-// Guards single rules of the ledger that generated histories reach too seldom, and measures the cost of a claim.
+// Guards single rules of the ledger that generated histories reach too seldom.
 
 #include <catch2/catch.hpp>
 
-#include <cstdio>
+#include <algorithm>
 
 #include "persimmongrade/ledger.h"
 #include "persimmongrade/uuid.h"
@@ -89,7 +89,11 @@
     REQUIRE(first.messages.size() == 3);
     coordinator.receive(start, "a1", grant(first.messages[0]));
     REQUIRE(dispatches(coordinator.receive(start, "b1", grant(first.messages[1]))));
-    coordinator.not_dispatched(start + ms(1), 1, wire::refusal_reason::target_shed);
+    auto refused = coordinator.not_dispatched(start + ms(1), 1, wire::refusal_reason::target_shed);
+    CHECK(refused.outcomes.at(0).outcome == wire::outcome::not_run);
+    CHECK(std::count_if(refused.messages.begin(), refused.messages.end(), [](const auto& message) {
+              return std::holds_alternative<wire::abort_request_t>(message.body);
+          }) == 3);
     auto second = coordinator.begin(start + ms(2), {2, key, "crew", 1, start + ms(2000)});
     for (const auto& message : first.messages) {
         CHECK_FALSE(dispatches(coordinator.receive(start + ms(3), message.to, grant(message))));
