Match ledger replies to the incarnation of the edge that asked

Cause: an edge that restarts numbers its attempts and page requests from 1 again, so a late reply to its former incarnation counted as a claim of the new attempt with the same number. The same held for pages copied by a restarted replica. Change: claim_reply carries the whole attempt id and ledger_sync_reply the incarnation of the requester; others are ignored.

--- a/src/request/ledger_coordinator.cpp
+++ b/src/request/ledger_coordinator.cpp
@@ -165,7 +165,8 @@
     }
     auto& attempt = position->second;
     auto found = attempt.votes.find(from);
-    if (reply.request_id != attempt.number || attempt.state != phase::claiming || found == attempt.votes.end() ||
+    bool current = reply.attempt != nullptr && from_wire(*reply.attempt) == this->id_of(attempt.number);
+    if (!current || attempt.state != phase::claiming || found == attempt.votes.end() ||
         now - attempt.claimed_from > ledger_claim_window) {
         return;
     }
--- a/src/request/ledger_replica.cpp
+++ b/src/request/ledger_replica.cpp
@@ -193,6 +193,7 @@
     reply.replica = this->options.edge;
     reply.incarnation = this->options.incarnation;
     reply.result = wire::claim_result::not_voting;
+    reply.attempt = persimmongrade::to_wire(wanted.attempt);
     bool votes = this->votes_on(now, key);
     auto known = this->entries.find(key);
     entry* found = known != this->entries.end() ? &known->second : nullptr;
@@ -324,6 +325,7 @@
     reply.incarnation = this->options.incarnation;
     reply.voting = this->members.hash() == request.members_hash &&
                    (this->complete || (this->complete_before && !this->members.previous.empty()));
+    reply.requester_incarnation = request.incarnation;
     reply.done = true;
     reply.last_key = request.after_key;
     if (!reply.voting) {
@@ -349,6 +351,10 @@
 }
 
 std::vector<ledger_message> ledger_replica::on_sync_reply(time_point now, const wire::ledger_sync_reply_t& reply) {
+    // A reply to a request of an earlier incarnation may lack claims that were made since.
+    if (reply.requester_incarnation != this->options.incarnation) {
+        return {};
+    }
     auto found = this->copies.find(reply.replica);
     if (this->complete || found == this->copies.end() || reply.request_id != found->second.request_id ||
         reply.request_id == 0) {
--- a/tests/request/test_ledger_rules.cpp
+++ b/tests/request/test_ledger_rules.cpp
@@ -37,6 +37,7 @@
     reply.incarnation = 1;
     reply.result = wire::claim_result::granted;
     reply.entry = std::make_unique<wire::ledger_entry_t>(*request.entry);
+    reply.attempt = std::make_unique<wire::attempt_id_t>(*request.entry->attempt);
     return reply;
 }
 
@@ -102,6 +103,28 @@
     CHECK(dispatches(coordinator.receive(start + ms(3), "b1", grant(second.messages[1]))));
 }
 
+// Found by a generated history: the numbers of attempts and page requests start again at 1 after a restart.
+TEST_CASE("replies to an earlier incarnation of the edge do not count", "[ledger]") {
+    std::string key = key_at(start);
+    auto before = coordinator_with(three).begin(start, {1, key, "crew", 1, start + ms(2000)});
+    ledger_coordinator after({"a1", 2, unix_offset}, three);
+    auto begun = after.begin(start + ms(1), {1, key, "crew", 1, start + ms(2000)});
+    for (const auto& message : before.messages) {
+        CHECK_FALSE(dispatches(after.receive(start + ms(2), message.to, grant(message))));
+    }
+    auto b1 = replica_of("b1", three, true);
+    auto c1 = replica_of("c1", three, true);
+    auto a1 = replica_of("a1", three, false);
+    ledger_replica restarted(start, {"a1", 2, unix_offset}, three);
+    auto now = start + ledger_settle_time;
+    restarted.tick(now);
+    for (const auto& request : a1.tick(now)) {
+        auto& source = request.to == "b1" ? b1 : c1;
+        restarted.receive(now, request.to, source.receive(now, "a1", request.body).at(0).body);
+    }
+    CHECK_FALSE(restarted.voting());
+}
+
 TEST_CASE("claims do not count after the claim window, when a restarted replica may vote again", "[ledger]") {
     static_assert(ledger_settle_time > ledger_claim_window + clock_fixed_margin + ledger_claim_window / 100);
     auto coordinator = coordinator_with(three);
