--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -106,6 +106,16 @@
 
 // ---- Granter (leader) ----
 
+// Use of one region or link by all edges, in the unit of the limit (requests or bytes per second).
+struct resource_use {
+    resource subject;
+    double limit = 0;
+    double used = 0;     // as last reported by edges heard within a lease
+    double granted = 0;  // floors and leases that edges may use now
+
+    friend bool operator==(const resource_use&, const resource_use&) = default;
+};
+
 // Answers edge pings with lease grants. One per control process; only the leader answers.
 class lease_granter {
 public:
@@ -127,6 +137,7 @@
     std::uint64_t revision() const noexcept;
     time_point grants_start_at() const noexcept { return this->no_grants_until; }  // nothing above the floors before
     double counted(const resource& subject, time_point now);                       // floors and leases, all edges
+    std::vector<resource_use> rate_uses(time_point now);                           // every limited region and link
 
 private:
     struct grant {
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -698,6 +698,12 @@
         for (const auto& assignment : this->store.configuration().assignments) {
             assignments.push_back(to_json(*assignment));
         }
+        nlohmann::json resources = nlohmann::json::array();
+        if (this->granter.leading()) {
+            for (const resource_use& use : this->granter.rate_uses(now)) {
+                resources.push_back(to_json(use));
+            }
+        }
         nlohmann::json members = nlohmann::json::array();
         for (const auto& voter : this->log.voters().voters) {
             members.push_back({{"id", voter->id}, {"address", voter->address}, {"voting", voter->voting}});
@@ -712,7 +718,8 @@
                                             {"not_in_force", missing},
                                             {"edges", edges},
                                             {"drains", drains},
-                                            {"assignments", assignments}}));
+                                            {"assignments", assignments},
+                                            {"resources", resources}}));
     }
 
     // Answers as soon as the revision is above `after`, or with the unchanged revision after the timeout.
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -156,6 +156,14 @@
     return result;
 }
 
+json to_json(const resource_use& use) {
+    return {{"kind", wire::EnumNameresource_kind(use.subject.kind)},
+            {"subject", use.subject.subject},
+            {"limit", use.limit},
+            {"used", use.used},
+            {"granted", use.granted}};
+}
+
 json to_json(const wire::assignment_t& assignment) {
     json shares = json::object();
     for (const auto& share : assignment.shares) {
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "messages_generated.h"
+#include "persimmongrade/capacity_lease.h"
 #include "persimmongrade/distribution.h"
 #include "persimmongrade/http.h"
 #include "persimmongrade/record.h"
@@ -42,6 +43,7 @@
 nlohmann::json to_json(const wire::steering_record_t& record);
 nlohmann::json to_json(const wire::edge_info_t& edge);
 nlohmann::json to_json(const drain_status& drain);
+nlohmann::json to_json(const resource_use& use);
 nlohmann::json to_json(const wire::assignment_t& assignment);
 nlohmann::json to_json(const wire::configuration_delta_t& delta);  // names only
 
--- a/src/limits/lease_granter.cpp
+++ b/src/limits/lease_granter.cpp
@@ -397,4 +397,20 @@
     return result;
 }
 
+std::vector<resource_use> lease_granter::rate_uses(time_point now) {
+    std::vector<resource_use> uses;
+    for (const auto& [subject, limit] : this->current.rates()) {
+        resource_use use{subject, limit, 0, this->counted(subject, now)};
+        const share_book& shares = this->books[subject];
+        for (std::size_t i = 0; i < shares.accounts.size(); ++i) {
+            const edge_entry& edge = this->edges[i];
+            bool current = edge.heard && now < edge.last_ping_at + this->options.lease &&
+                           shares.accounts[i].reported_sequence == edge.last_sequence;
+            use.used += current ? shares.accounts[i].used : 0;
+        }
+        uses.push_back(std::move(use));
+    }
+    return uses;
+}
+
 }  // namespace persimmongrade
