Bind the shift controller to the leader

Measurements come from edge_ping; decisions are committed as set_assignments at most every 100 ms. An edge that is silent for 30 s or restarts no longer counts. Latencies between regions become the setting region_latencies.

The test with kill -9 now ends all three processes and restarts them: without it, not persisting log entries went unnoticed on a scratch copy, because a restarted process copied the log from the others.

Breaks tried on a scratch copy: every process bootstraps (the lost data folder test fails); no transfer on SIGTERM (the SIGTERM test fails). Reads by is_leader instead of the leader lease are not caught by the pause test: the consensus core steps down by itself when its lease ends, so only the consensus tests guard the lease.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -181,6 +181,17 @@
     });
 }
 
+void read_region_latencies(mapping_reader& reader,
+                           std::vector<std::unique_ptr<wire::region_latency_setting_t>>& latencies) {
+    reader.each("region_latencies", false, [&](mapping_reader& item) {
+        auto latency = std::make_unique<wire::region_latency_setting_t>();
+        item.require("from_region", latency->from_region);
+        item.require("to_region", latency->to_region);
+        item.optional("one_way_ms", latency->one_way_ms, 0, 1000);
+        latencies.push_back(std::move(latency));
+    });
+}
+
 template <typename Settings>
 void read_identity(mapping_reader& reader, Settings& settings) {
     reader.require("id", settings.id);
@@ -221,6 +232,7 @@
     reader.optional("election_timeout_ms", settings.election_timeout_ms, 50, 60000);
     reader.optional("heartbeat_ms", settings.heartbeat_ms, 10, 10000);
     reader.optional("snapshot_entries", settings.snapshot_entries, 10, 1000000);
+    read_region_latencies(reader, settings.region_latencies);
     reader.finish();
     if (settings.heartbeat_ms * 3 > settings.election_timeout_ms) {
         throw settings_error(file + ":0", "heartbeat_ms", "must be at most a third of election_timeout_ms");
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -1,5 +1,7 @@
 #include "persimmongrade/control_server.h"
 
+#include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <random>
@@ -16,12 +18,14 @@
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/record_parser.h"
 #include "persimmongrade/record_store.h"
+#include "persimmongrade/shift_controller.h"
 
 // Index
 //   Start         - options, membership, joining a running cluster
 //   Submissions   - from an HTTP request through the log to its answer
 //   Log events    - committed entries, installed snapshots, changes of leadership
 //   Edges         - pings, acknowledgements, pushes
+//   Shifts        - measurements, decisions
 //   HTTP          - routes, reads, watches
 //   Stop
 
@@ -37,7 +41,9 @@
 constexpr duration watch_timeout = ms(25000);      // a watch without changes is answered after this
 constexpr std::size_t max_pending_submissions = 10000;
 constexpr std::size_t max_watches = 1000;
-constexpr duration join_interval = ms(500);          // between requests to be added, to one process after the other
+constexpr duration shift_tick = ms(100);           // a step moves traffic per seconds, so decisions need not be faster
+constexpr duration forget_edge_after = ms(30000);  // a silent edge's measurements freeze shifts until then
+constexpr duration join_interval = ms(500);        // between requests to be added, to one process after the other
 constexpr std::size_t max_command_bytes = 8u << 20;  // must fit one peer frame with room to spare
 
 using exchange_pointer = std::shared_ptr<http_exchange>;
@@ -53,6 +59,11 @@
     submission request;
 };
 
+struct measured_edge {
+    std::uint64_t incarnation = 0;
+    time_point last_ping{};
+};
+
 struct watch {
     std::uint64_t after = 0;
     exchange_pointer exchange;
@@ -67,6 +78,14 @@
     return ids;
 }
 
+std::vector<region_latency> latencies_of(const wire::control_settings_t& settings) {
+    std::vector<region_latency> latencies;
+    for (const auto& entry : settings.region_latencies) {
+        latencies.push_back({entry->from_region, entry->to_region, entry->one_way_ms});
+    }
+    return latencies;
+}
+
 std::optional<std::uint64_t> parse_count(const std::optional<std::string>& text) {
     if (!text || text->empty() || text->size() > 18 || text->find_first_not_of("0123456789") != std::string::npos) {
         return std::nullopt;
@@ -92,6 +111,9 @@
     distribution distributor;
     lease_granter granter;
     std::uint64_t granter_term = 0;  // in which the granter became leader
+    shift_controller shifts;
+    std::uint64_t shifts_revision = 0;              // applied to the shift controller
+    std::map<std::string, measured_edge> measured;  // edges whose measurements the shift controller has
     consensus_driver<impl> log;
     peer_transport peers;
     http_server http;
@@ -112,7 +134,7 @@
 
     impl(event_loop& loop, wire::control_settings_t given, const control_options& options)
         : loop(loop), settings(std::move(given)), distributor({}, edge_ids(this->settings), this->store),
-          granter(edge_ids(this->settings)),
+          granter(edge_ids(this->settings)), shifts({}, latencies_of(this->settings)),
           log(*this, log_options(this->settings), data_options(this->settings, options), loop.now()),
           peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
                 this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
@@ -131,6 +153,7 @@
         this->log.start();
         loop.every(consensus_tick, [this] { this->log.tick(this->loop.now()); });
         loop.every(distribution_tick, [this] { this->distribute(); });
+        loop.every(shift_tick, [this] { this->decide_shifts(); });
         loop.every(join_interval, [this] { this->ask_to_join(); });
     }
 
@@ -399,6 +422,7 @@
             return;
         }
         this->granter.step_down();
+        this->shifts.step_down();
         this->tell_granter(this->loop.now() + publication_delay);
         auto lost = std::exchange(this->proposed, {});
         for (auto& [index, entry] : lost) {
@@ -442,6 +466,7 @@
         if (this->granter_term != this->distributor.term()) {
             this->granter_term = this->distributor.term();
             this->granter.become_leader(this->granter_term, now);
+            this->shifts.become_leader(now);
         }
     }
 
@@ -456,6 +481,7 @@
                 this->unknown_edges.Increment();
                 return;
             }
+            this->observe(now, ping);
         }
         this->send_all(this->distributor.on_ping(now, ping, std::move(pong)));
         this->follow_publication(now);
@@ -480,6 +506,70 @@
         }
     }
 
+    // ---- Shifts ----
+
+    // Edges stamp measurements with Unix time. A time in the future counts as now.
+    static time_point local_time(time_point now, std::int64_t taken_at_ms) {
+        std::int64_t age_ms = std::max<std::int64_t>(0, unix_time_ms() - taken_at_ms);
+        return now - ms(age_ms);
+    }
+
+    void observe(time_point now, const wire::edge_ping_t& ping) {
+        auto [found, added] = this->measured.try_emplace(ping.edge);
+        if (ping.incarnation < found->second.incarnation) {
+            return;
+        }
+        if (!added && ping.incarnation != found->second.incarnation) {
+            this->shifts.forget(ping.edge);
+        }
+        found->second = {ping.incarnation, now};
+        for (const auto& demand : ping.service_demands) {
+            this->shifts.observe(ping.edge, *demand, local_time(now, demand->taken_at_ms));
+        }
+        for (const auto& capacity : ping.capacities) {
+            this->shifts.observe(ping.edge, *capacity, local_time(now, capacity->taken_at_ms));
+        }
+    }
+
+    void decide_shifts() {
+        time_point now = this->loop.now();
+        if (this->shifts_revision != this->store.revision()) {
+            this->shifts_revision = this->store.revision();
+            this->shifts.apply(this->store.configuration(), now);
+        }
+        if (!this->refresh_authority() || this->is_stopping) {
+            return;
+        }
+        this->follow_publication(now);
+        std::erase_if(this->measured, [&](const auto& item) {
+            bool silent = now >= item.second.last_ping + forget_edge_after;
+            if (silent) {
+                this->shifts.forget(item.first);
+            }
+            return silent;
+        });
+        wire::set_assignments_t command;
+        for (wire::assignment_t& assignment : this->shifts.decide(now)) {
+            command.assignments.push_back(std::make_unique<wire::assignment_t>(std::move(assignment)));
+        }
+        if (!command.assignments.empty()) {
+            wire::command_bodyUnion body;
+            body.Set(std::move(command));
+            this->submit(std::move(body), nullptr);
+        }
+    }
+
+    nlohmann::json shift_states() const {
+        static constexpr std::array names = {"settled", "moving", "cap_used", "measurements_stale", "no_room"};
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& [service, status] : this->shifts.status()) {
+            list.push_back({{"service", service},
+                            {"state", names.at(static_cast<std::size_t>(status.state))},
+                            {"moved_permille", status.moved_permille}});
+        }
+        return list;
+    }
+
     // ---- HTTP ----
 
     void refuse(const exchange_pointer& exchange, operator_error type, const std::string& message) {
@@ -712,6 +802,7 @@
                                             {"not_in_force", missing},
                                             {"edges", edges},
                                             {"drains", drains},
+                                            {"shifts", this->shift_states()},
                                             {"assignments", assignments}}));
     }
 
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -167,7 +167,7 @@
 
 }  // namespace
 
-TEST_CASE("accepted submissions survive kill -9 of two leaders in turn") {
+TEST_CASE("accepted submissions survive kill -9 of two leaders in turn and then of all processes") {
     cluster c;
     std::map<std::string, std::uint64_t> accepted;
     std::uint64_t last_revision = 0;
@@ -186,7 +186,12 @@
         last_revision = revision;
         accepted[id] = revision;
     }
-    c.kill(c.leader());
+    for (int i = 0; i < cluster::size; ++i) {
+        c.kill(i);
+    }
+    for (int i = 0; i < cluster::size; ++i) {  // what only memory held is gone now
+        c.start(i, false);
+    }
     std::map<std::string, std::uint64_t> found;
     json listed = c.ask("GET", "/v1/records");
     for (const json& record : listed["records"]) {
