Give persimmonctl a settings file, count refusals by type, refuse incomplete pings

A ping whose demand lacks its resource passed the FlatBuffers verifier and would have been read by the lease granter; it is counted and dropped.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -126,7 +126,10 @@
     bool flush_scheduled = false;
     bool is_stopping = false;
     prometheus::Counter& submissions;
-    prometheus::Counter& refusals;
+    std::vector<prometheus::Counter*> refusals;  // by operator_error
+    prometheus::Counter& bad_pings;
+    prometheus::Gauge& rejected_requests;
+    prometheus::Histogram& acceptance_seconds;
     prometheus::Counter& unknown_edges;
     prometheus::Gauge& revision_gauge;
     prometheus::Gauge& leader_gauge;
@@ -139,17 +142,27 @@
           peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
                 this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
           http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_record_bytes},
-               [this](http_request request, exchange_pointer exchange) {
-                   this->handle(std::move(request), std::move(exchange));
+               [this](const http_request& request, const exchange_pointer& exchange) {
+                   this->handle(request, exchange);
                }),
           client(loop),
           submissions(this->metrics.counter("persimmongrade_submissions_total", "Submissions put into the log.")),
-          refusals(this->metrics.counter("persimmongrade_operator_refusals_total", "Refused operator requests.")),
+          bad_pings(this->metrics.counter("persimmongrade_bad_pings_total", "Pings with a missing field.")),
+          rejected_requests(this->metrics.gauge("persimmongrade_http_rejected_requests",
+                                                "Malformed or oversized requests refused by the HTTP layer.")),
+          acceptance_seconds(this->metrics.histogram("persimmongrade_acceptance_seconds",
+                                                     "Time from a submission to its answer from the log.",
+                                                     {0.001, 0.005, 0.02, 0.05, 0.1, 0.5, 1, 5})),
           unknown_edges(this->metrics.counter("persimmongrade_unknown_edge_pings_total",
                                               "Pings of edges that are not in the settings.")),
           revision_gauge(this->metrics.gauge("persimmongrade_revision", "Revision of the applied configuration.")),
           leader_gauge(this->metrics.gauge("persimmongrade_leader", "1 while this process serves as leader.")),
           term_gauge(this->metrics.gauge("persimmongrade_term", "Consensus term.")) {
+        for (std::size_t i = 0; i < operator_error_count; ++i) {
+            this->refusals.push_back(&this->metrics.counter("persimmongrade_operator_refusals_total",
+                                                            "Refused operator requests.",
+                                                            {{"error", to_string(static_cast<operator_error>(i))}}));
+        }
         this->log.start();
         loop.every(consensus_tick, [this] { this->log.tick(this->loop.now()); });
         loop.every(distribution_tick, [this] { this->distribute(); });
@@ -333,6 +346,7 @@
             return;
         }
         std::vector<byte_string> payloads;
+        payloads.reserve(batch.size());
         for (submission& request : batch) {
             payloads.push_back(std::move(request.payload));
         }
@@ -387,6 +401,8 @@
                          "another leader replaced the submission before it was committed");
             return;
         }
+        duration taken = this->loop.now() - node.mapped().request.received_at;
+        this->acceptance_seconds.Observe(static_cast<double>(taken.count()) / 1000.0);
         node.mapped().request.exchange->respond(result_response(result));
     }
 
@@ -493,9 +509,19 @@
         }
     }
 
+    // Tables inside a verified message may still be absent.
+    static bool is_complete(const wire::edge_ping_t& ping) {
+        return std::all_of(ping.demands.begin(), ping.demands.end(),
+                           [](const auto& demand) { return demand->resource != nullptr; });
+    }
+
     void receive(const wire::envelope_t& envelope) {
         time_point now = this->loop.now();
         if (const auto* ping = envelope.body.Asedge_ping()) {
+            if (!is_complete(*ping)) {
+                this->bad_pings.Increment();
+                return;
+            }
             this->answer_ping(now, *ping);
         } else if (const auto* ack = envelope.body.Asconfig_ack()) {
             this->refresh_authority();
@@ -572,8 +598,10 @@
 
     // ---- HTTP ----
 
+    void count_refusal(operator_error type) { this->refusals.at(static_cast<std::size_t>(type))->Increment(); }
+
     void refuse(const exchange_pointer& exchange, operator_error type, const std::string& message) {
-        this->refusals.Increment();
+        this->count_refusal(type);
         if (exchange) {
             exchange->respond(error_response(type, message));
         }
@@ -600,26 +628,27 @@
         if (!exchange) {
             return;
         }
-        this->refusals.Increment();
         std::string leader = this->name_of(this->log.leader_id());
         std::string address = this->http_address_of(leader);
         if (this->log.is_leader() || address.empty()) {
-            exchange->respond(error_response(operator_error::unavailable, "no leader has a majority now"));
+            this->refuse(exchange, operator_error::unavailable, "no leader has a majority now");
             return;
         }
+        this->count_refusal(operator_error::not_leader);
         http_response response = error_response(operator_error::not_leader, "the leader is " + leader,
                                                 {{"leader", leader}, {"leader_address", address}});
         response.headers.push_back({"persimmon-leader", address});
         exchange->respond(std::move(response));
     }
 
-    void handle(http_request request, exchange_pointer exchange) {
+    void handle(const http_request& request, const exchange_pointer& exchange) {
         if (request.path == "/healthz") {
             exchange->respond({200, {}, "ok\n"});
         } else if (request.path == "/readyz") {
             bool ready = !this->log.leader_id().empty() && !this->is_stopping && !this->log.failed();
             exchange->respond({ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n"});
         } else if (request.path == "/metrics") {
+            this->rejected_requests.Set(static_cast<double>(this->http.rejected_requests()));
             exchange->respond({200, {{"content-type", "text/plain; version=0.0.4"}}, this->metrics.text()});
         } else if (this->is_stopping) {
             this->refuse(exchange, operator_error::stopping, "the process is stopping");
@@ -685,7 +714,7 @@
         try {
             command.record = std::make_unique<wire::steering_record_t>(parse_record(request.body));
         } catch (const record_error& failure) {
-            this->refusals.Increment();
+            this->count_refusal(operator_error::invalid_record);
             exchange->respond(record_error_response(failure));
             return;
         }
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -19,7 +19,7 @@
     bool retry;  // the same submission may succeed later
 };
 
-constexpr std::array<error_form, 10> error_forms = {{
+constexpr std::array<error_form, operator_error_count> error_forms = {{
     {operator_error::bad_request, "bad_request", 400, "not_run", false},
     {operator_error::invalid_record, "invalid_record", 400, "not_run", false},
     {operator_error::version_conflict, "version_conflict", 409, "not_run", false},
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -30,6 +30,7 @@
     outcome_unknown,
     internal_error,
 };
+inline constexpr std::size_t operator_error_count = 10;
 
 const char* to_string(operator_error type);
 
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -284,6 +284,11 @@
     CHECK(run({"get"}) == 2);
     CHECK(run({"submit", "/nonexistent"}) == 2);
     CHECK(run({"explain", "version_conflict"}) == 0);
+    std::string settings = c.directory / "ctl.yaml";
+    std::ofstream(settings) << "control: [\"" << c.http(2) << "\"]\noutput: json\n";
+    CHECK(exit_status(spawn({bin("persimmonctl"), "--config", settings, "status"})) == 0);
+    std::ofstream(settings) << "contrl: []\n";
+    CHECK(exit_status(spawn({bin("persimmonctl"), "--config", settings, "--check-config"})) == 2);
     int leader = c.leader();
     for (int i = 0; i < cluster::size; ++i) {
         if (i != leader) {
--- a/tools/persimmonctl.cpp
+++ b/tools/persimmonctl.cpp
@@ -9,10 +9,12 @@
 
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
+#include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <sstream>
 
@@ -480,20 +482,71 @@
     throw usage_error("unknown command, or an argument is missing: " + command + "\n" + usage_text);
 }
 
+// Settings file: {control: [ADDR, ...], output: text|json, timeout_ms: N}; options of the command line go first.
+// Throws settings_error.
+struct file_settings {
+    std::vector<std::string> control;
+    std::optional<std::string> output;
+    std::optional<std::uint32_t> timeout_ms;
+};
+
+void read_setting(file_settings& settings, const std::string& key, const YAML::Node& value) {
+    if (key == "control") {
+        for (const YAML::Node& item : value) {
+            settings.control.push_back(ip_address::parse(item.as<std::string>()).to_string());
+        }
+    } else if (key == "output") {
+        settings.output = value.as<std::string>();
+    } else if (key == "timeout_ms") {
+        settings.timeout_ms = value.as<std::uint32_t>();
+    } else {
+        throw usage_error("unknown key");
+    }
+}
+
+file_settings load_settings(const std::string& file) {
+    file_settings settings;
+    std::string key = "settings";
+    int line = 0;
+    try {
+        const YAML::Node root = YAML::LoadFile(file);
+        if (!root.IsMap()) {
+            throw usage_error("expected a mapping");
+        }
+        for (const auto& pair : root) {
+            key = pair.first.as<std::string>();
+            line = pair.first.Mark().line + 1;
+            read_setting(settings, key, pair.second);
+        }
+    } catch (const YAML::Exception& failure) {
+        throw settings_error(file + ":" + std::to_string(std::max(line, failure.mark.line + 1)), key, failure.msg);
+    } catch (const error& failure) {  // usage_error or address_error
+        throw settings_error(file + ":" + std::to_string(line), key, failure.what());
+    }
+    return settings;
+}
+
 options read_options(const po::variables_map& values) {
     options given;
+    file_settings settings;
+    if (values.count("config") > 0) {
+        settings = load_settings(values["config"].as<std::string>());
+    }
     if (values.count("control") > 0) {
-        for (const std::string& address : values["control"].as<std::vector<std::string>>()) {
-            given.control.push_back(ip_address::parse(address));
-        }
+        settings.control = values["control"].as<std::vector<std::string>>();
     }
-    std::string output = values["output"].as<std::string>();
+    for (const std::string& address : settings.control) {
+        given.control.push_back(ip_address::parse(address));
+    }
+    bool use_file = values["output"].defaulted() && settings.output;
+    std::string output = use_file ? *settings.output : values["output"].as<std::string>();
     if (output != "text" && output != "json") {
         throw usage_error("--output is text or json");
     }
     given.as_json = output == "json";
     given.wait = values.count("wait") > 0;
-    given.timeout = ms(values["timeout-ms"].as<std::uint32_t>());
+    bool file_timeout = values["timeout-ms"].defaulted() && settings.timeout_ms;
+    given.timeout = ms(file_timeout ? *settings.timeout_ms : values["timeout-ms"].as<std::uint32_t>());
     given.version = values["version-number"].as<std::uint64_t>();
     given.after = values["after"].as<std::uint64_t>();
     given.submission_id =
@@ -509,6 +562,8 @@
     auto add = visible.add_options();
     add("help", "print this text and exit");
     add("version", "print the version and exit");
+    add("config", po::value<std::string>(), "YAML settings file with the keys control, output and timeout_ms");
+    add("check-config", "check the settings and exit: 0 when they are valid, 2 when not");
     add("control", po::value<std::vector<std::string>>()->composing(), "operator address of a control process");
     add("output", po::value<std::string>()->default_value("text"), "text or json");
     add("wait", "return when the change is in force on every edge");
@@ -531,7 +586,12 @@
         std::cout << "persimmonctl " << PERSIMMONGRADE_VERSION << "\n";
         return exit_code::done;
     }
-    return run(read_options(values));
+    options given = read_options(values);
+    if (values.count("check-config") > 0) {
+        std::cout << "the settings are valid\n";
+        return exit_code::done;
+    }
+    return run(given);
 }
 
 }  // namespace
@@ -545,6 +605,8 @@
         std::cerr << failure.what() << "\n";
     } catch (const address_error& failure) {
         std::cerr << failure.what() << "\n";
+    } catch (const settings_error& failure) {
+        std::cerr << failure.what() << "\n";
     } catch (const std::exception& failure) {
         std::cerr << "persimmonctl: " << failure.what() << "\n";
         return static_cast<int>(exit_code::unavailable);
