--- a/src/limits/rate_limiter.cpp
+++ b/src/limits/rate_limiter.cpp
@@ -101,7 +101,7 @@
         return std::min(initial_estimate_bytes, this->max_bytes);
     }
     std::vector<std::uint64_t> sizes(this->recent.begin(), this->recent.end());
-    auto rank = static_cast<std::size_t>(estimate_percentile * static_cast<double>(sizes.size() - 1) + 0.5);
+    auto rank = static_cast<std::size_t>(std::lround(estimate_percentile * static_cast<double>(sizes.size() - 1)));
     auto position = sizes.begin() + static_cast<std::ptrdiff_t>(rank);
     std::nth_element(sizes.begin(), position, sizes.end());
     return std::min(*position, this->max_bytes);
--- a/src/steering/client_block_table.cpp
+++ b/src/steering/client_block_table.cpp
@@ -328,11 +328,13 @@
 // Sites of the prefixes of at most 16 bits for the buckets `first` to `last`; longer prefixes are written later.
 void client_block_table::refresh_defaults(std::uint32_t first, std::uint32_t last) {
     std::fill(this->v4_default.begin() + first, this->v4_default.begin() + last + 1, no_site);
-    for (const auto& [key, site] : this->v4_short) {
-        std::uint32_t begin = std::max(first, key.second);
-        std::uint32_t end = std::min(last, key.second + (0xffffU >> key.first));
-        for (std::uint32_t i = begin; i <= end; ++i) {
-            this->v4_default[i] = site;
+    for (std::uint8_t length = 0; length <= v4_bucket_bits; ++length) {
+        std::uint32_t span = 0xffffU >> length;  // buckets of one prefix, less one
+        auto entry = this->v4_short.lower_bound({length, first & ~span});
+        for (; entry != this->v4_short.end() && entry->first.first == length && entry->first.second <= last; ++entry) {
+            std::uint32_t begin = std::max(first, entry->first.second);
+            std::uint32_t end = std::min(last, entry->first.second + span);
+            std::fill(this->v4_default.begin() + begin, this->v4_default.begin() + end + 1, entry->second);
         }
     }
 }
@@ -435,7 +437,7 @@
         result += blocks.capacity() * sizeof(block<v4_key>);
     }
     for (const auto& [top, blocks] : this->v6) {
-        result += hash_node + sizeof(blocks) + blocks.capacity() * sizeof(block<v6_key>);
+        result += hash_node + sizeof(bucket<v6_key>) + blocks.capacity() * sizeof(block<v6_key>);
     }
     return result + (this->v4_short.size() + this->v6_short.size()) * tree_node;
 }
--- a/src/steering/lookup.cpp
+++ b/src/steering/lookup.cpp
@@ -137,6 +137,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<std::string> result;
+    result.reserve(order.size());
     for (auto& [distance, name] : order) {
         result.push_back(std::move(name));
     }
--- a/src/steering/shift_controller.cpp
+++ b/src/steering/shift_controller.cpp
@@ -260,6 +260,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<std::string> result;
+    result.reserve(order.size());
     for (auto& [rank, region] : order) {
         result.push_back(std::move(region));
     }
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -444,6 +444,38 @@
     REQUIRE(admitted == 2);  // 50 ms of the floor, nothing of the expired lease
 }
 
+// Guards against a new leader that gives away slots in which a silent edge still runs requests.
+TEST_CASE("a new leader waits for the requests of an edge it has not heard") {
+    const lease_options options;
+    const auto names = edge_names(2);
+    const auto configuration = make_configuration(1, 400, 64, 9);
+    std::vector<lease_granter> granters(2, lease_granter(names, options));
+    std::vector<lease_holder> holders;
+    for (std::size_t i = 0; i < 2; ++i) {
+        granters[i].apply(configuration, time_point(ms(0)));
+        holders.emplace_back(names[i], names).apply(configuration, time_point(ms(0)));
+    }
+    auto ask = [&](std::size_t holder, std::size_t leader, std::int64_t t) {
+        for (resource_claim claim{slots, 1}; holders[holder].reserve(std::span(&claim, 1), time_point(ms(t)));) {
+        }
+        wire::edge_ping_t ping;
+        holders[holder].prepare(ping, time_point(ms(t)));
+        holders[holder].receive(granters[leader].answer(ping, time_point(ms(t))), time_point(ms(t)));
+    };
+    granters[0].become_leader(1, time_point(ms(0)));
+    for (std::int64_t t = 0; t < 10000; t += 250) {
+        ask(0, 0, t);
+    }
+    double busy = holders[0].in_use(slots);
+    REQUIRE(busy >= 5);
+    granters[1].become_leader(2, time_point(ms(10000)));
+    auto released_at = granters[1].grants_start_at() + options.concurrency_hold;
+    for (std::int64_t t = 10000; time_point(ms(t)) < released_at; t += 50) {
+        ask(1, 1, t);
+        REQUIRE(busy + std::max(holders[1].in_use(slots), holders[1].usable(slots, time_point(ms(t)))) <= 9);
+    }
+}
+
 // Guards against capacity that stays with an idle edge while another one refuses requests.
 TEST_CASE("the share of an idle edge reaches a busy edge within two leases") {
     rc::prop("demand moves from one edge to another", [] {
--- a/tools/persimmon-capacity.cpp
+++ b/tools/persimmon-capacity.cpp
@@ -130,7 +130,7 @@
 }
 
 table make_fit_table(const std::string& title) {
-    return {title, {"of", "value", "per 1000", "slope", "at 0", "residual %"}, {}};
+    return {title, {"of", "value", "x", "slope per 1000 x", "at x = 0", "residual % of largest"}, {}};
 }
 
 template <typename Action>
@@ -449,7 +449,7 @@
     table report{"client blocks, 94 sites, 10% IPv6, one core",
                  {"table", "blocks", "memory MB", "build ms", "million lookups/s", "us per change"},
                  {}};
-    table fits = make_fit_table("client blocks, linear fit per 1000 blocks");
+    table fits = make_fit_table("client blocks, linear fit");
     for (std::size_t size : sizes) {
         block_workload work = make_workload(size);
         std::uint64_t own = measure_blocks<client_block_table>("buckets", work, changes, report);
@@ -604,7 +604,7 @@
     for (std::size_t resources : {7U, 21U, 50U, 100U, 200U}) {
         add(by_resources, 7, resources);
     }
-    table fits = make_fit_table("leases, linear fit per 1000 edges or resources");
+    table fits = make_fit_table("leases, linear fit");
     add_fits(fits, by_edges, "", 0, {4, 5, 6});
     add_fits(fits, by_resources, "", 1, {2, 3, 5, 6});
     return {by_edges, by_resources, fits};
@@ -835,13 +835,13 @@
 
 std::vector<table> compare() {
     std::vector<table> result;
-    for (const auto& [name, demand] : patterns()) {
+    for (const auto& shape : patterns()) {
         table report{
-            "sharing a limit of 2000 requests/s among 7 edges: " + name,
+            "sharing a limit of 2000 requests/s among 7 edges: " + shape.name,
             {"scheme", "offered/s", "goodput/s", "refused/s", "worst 1 s window", "of limit %", "mean wait ms"},
             {}};
         auto add = [&](const std::string& scheme_name, sharing_scheme& scheme) {
-            comparison_result run = run_comparison(scheme, demand);
+            comparison_result run = run_comparison(scheme, shape.demand);
             double length = static_cast<double>(compared_length_ms) / 1000;
             report.rows.push_back({scheme_name, run.offered / length, run.admitted / length, run.refused / length,
                                    run.worst_window, run.worst_window / compared_limit * 100, run.mean_wait_ms});
