--- a/include/persimmongrade/client_block_table.h
+++ b/include/persimmongrade/client_block_table.h
@@ -101,9 +101,10 @@
 
 private:
     static constexpr site_index no_site = 0xffff;
-    static constexpr std::uint16_t far_parent = 0xffff;  // the parent is further back than 16 bits can say
+    static constexpr std::size_t largest_distance = 0xffff;
 
     // Prefixes longer than the bucket, sorted by (start, length); `parent` is the distance back to the enclosing one.
+    // A distance that does not fit leads to a block inside the same parent, whose own distance leads on.
     template <typename Key>
     struct block {
         Key start{};
--- a/src/steering/client_block_table.cpp
+++ b/src/steering/client_block_table.cpp
@@ -184,7 +184,7 @@
         if (parent == 0) {
             return no_site;
         }
-        index -= parent == far_parent ? 1 : parent;
+        index -= parent;
     }
     return blocks[index].site;
 }
@@ -197,7 +197,7 @@
             enclosing.pop_back();
         }
         std::size_t distance = enclosing.empty() ? 0 : i - enclosing.back();
-        blocks[i].parent = static_cast<std::uint16_t>(std::min<std::size_t>(distance, far_parent));
+        blocks[i].parent = static_cast<std::uint16_t>(std::min(distance, largest_distance));
         enclosing.push_back(i);
     }
 }
