--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -167,7 +167,7 @@
 
 }  // namespace
 
-TEST_CASE("accepted submissions survive kill -9 of two leaders in turn") {
+TEST_CASE("accepted submissions survive kill -9 of two leaders in turn and then of all processes") {
     cluster c;
     std::map<std::string, std::uint64_t> accepted;
     std::uint64_t last_revision = 0;
@@ -186,7 +186,12 @@
         last_revision = revision;
         accepted[id] = revision;
     }
-    c.kill(c.leader());
+    for (int i = 0; i < cluster::size; ++i) {
+        c.kill(i);
+    }
+    for (int i = 0; i < cluster::size; ++i) {  // what only memory held is gone now
+        c.start(i, false);
+    }
     std::map<std::string, std::uint64_t> found;
     json listed = c.ask("GET", "/v1/records");
     for (const json& record : listed["records"]) {
@@ -279,6 +284,11 @@
     CHECK(run({"get"}) == 2);
     CHECK(run({"submit", "/nonexistent"}) == 2);
     CHECK(run({"explain", "version_conflict"}) == 0);
+    std::string settings = c.directory / "ctl.yaml";
+    std::ofstream(settings) << "control: [\"" << c.http(2) << "\"]\noutput: json\n";
+    CHECK(exit_status(spawn({bin("persimmonctl"), "--config", settings, "status"})) == 0);
+    std::ofstream(settings) << "contrl: []\n";
+    CHECK(exit_status(spawn({bin("persimmonctl"), "--config", settings, "--check-config"})) == 2);
     int leader = c.leader();
     for (int i = 0; i < cluster::size; ++i) {
         if (i != leader) {
