--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -6,12 +6,14 @@
 
 #include "forwarded_headers.h"
 #include "persimmongrade/address.h"
+#include "persimmongrade/connect_probe.h"
 
 namespace persimmongrade {
 
 namespace {
 
 constexpr std::int64_t attempt_share_divisor = 2;  // an attempt may be replaced after half of the remaining time
+constexpr duration probe_timeout = ms(50);
 constexpr int first_server_error = 500;
 constexpr std::uint32_t weight_scale = 1000;
 
@@ -195,21 +197,18 @@
         this->receive_answer(std::move(result.response));
         return;
     case http_call_status::connect_failed:
-        this->note_absent_target();
+        this->note_absent_target(*this->target);
         this->release(target_result::connect_failed);
         this->fail(wire::retry_reason::connect_failed,
                    {target_connect_failed, wire::outcome::not_run, "the target refused the connection"}, true);
         return;
     case http_call_status::connection_lost:
-        this->note_lost_connection();
-        this->release(target_result::connection_lost);
-        this->fail(wire::retry_reason::connection_lost,
-                   {target_connection_lost, unknown, "the connection to the target was lost"}, false);
+        this->connection_ended(target_result::connection_lost, wire::retry_reason::connection_lost,
+                               {target_connection_lost, unknown, "the connection to the target was lost"});
         return;
     case http_call_status::answer_truncated:
-        this->note_lost_connection();
-        this->release(target_result::error);
-        this->fail(wire::retry_reason::target_error, {answer_truncated, unknown, "the answer was cut short"}, false);
+        this->connection_ended(target_result::error, wire::retry_reason::target_error,
+                               {answer_truncated, unknown, "the answer was cut short"});
         return;
     case http_call_status::answer_too_large:
         this->release(target_result::success, this->order.service->max_answer_bytes);
@@ -282,15 +281,27 @@
     this->edge.capacity_released(this->order.service->name);
 }
 
-void execution::note_lost_connection() {
-    this->edge.send_notices(
-        this->edge.crashes.connection_lost(this->edge.loop.now(), {this->order.service->name, this->order.fingerprint,
-                                                                   this->target->id, this->target->region}));
+// A request that ends its target must not be sent to the next one unnoticed, so a probe confirms first whether the
+// target is gone.
+void execution::connection_ended(target_result result, wire::retry_reason reason, const refusal& refused) {
+    target_choice lost = *this->target;
+    this->edge.send_notices(this->edge.crashes.connection_lost(
+        this->edge.loop.now(), {lost.service, this->order.fingerprint, lost.id, lost.region}));
+    this->release(result);
+    auto self = this->shared_from_this();
+    probe_connection(this->edge.loop, ip_address::parse(lost.address), probe_timeout,
+                     [self, lost, reason, refused](probe_result probed) {
+                         if (probed == probe_result::refused) {
+                             self->note_absent_target(lost);
+                         }
+                         if (!self->ended) {
+                             self->fail(reason, refused, false);
+                         }
+                     });
 }
 
-void execution::note_absent_target() {
-    this->edge.send_notices(
-        this->edge.crashes.target_gone(this->edge.loop.now(), this->target->service, this->target->id));
+void execution::note_absent_target(const target_choice& absent) {
+    this->edge.send_notices(this->edge.crashes.target_gone(this->edge.loop.now(), absent.service, absent.id));
 }
 
 // ---- Ends ----
--- a/src/edge/execution.h
+++ b/src/edge/execution.h
@@ -69,8 +69,8 @@
     bool retry(wire::retry_reason reason, wire::refusal_reason otherwise, bool proved_not_run,
                retry_decision& decision);
     void release(target_result result, std::uint64_t answer_bytes = 0);
-    void note_lost_connection();
-    void note_absent_target();
+    void connection_ended(target_result result, wire::retry_reason reason, const refusal& refused);
+    void note_absent_target(const target_choice& absent);
 
     // Ends
     void deadline_passed();
