Hold a probe connection open, so that a dying target is seen as gone

In the process test with crash faults a third target was crashed in 3 of 5 runs: the first probe was accepted by the listener of a process that was just ending.

--- a/include/persimmongrade/connect_probe.h
+++ b/include/persimmongrade/connect_probe.h
@@ -12,7 +12,11 @@
 
 namespace persimmongrade {
 
-enum class probe_result : std::uint8_t { connected, refused, timed_out };
+enum class probe_result : std::uint8_t {
+    connected,  // and the connection stayed open for 10 ms
+    refused,    // or accepted and ended at once
+    timed_out,
+};
 
 // The callback runs once, on a later turn of the loop.
 void probe_connection(event_loop& loop, const ip_address& address, duration timeout,
--- a/src/net/connect_probe.cpp
+++ b/src/net/connect_probe.cpp
@@ -8,15 +8,32 @@
 
 namespace {
 
+// A process that is ending may still accept: its listener is closed a moment after its connections. The connection then
+// ends within this time.
+constexpr duration hold_time = ms(10);
+
 struct probe {
     event_loop& loop;
     std::function<void(probe_result)> callback;
     h2o_socket_t* socket = nullptr;
     timer_id timer = 0;
 
+    void hold() {
+        this->loop.cancel(this->timer);
+        this->timer = this->loop.after(hold_time, [this] { this->finish(probe_result::connected); });
+        h2o_socket_read_start(this->socket, [](h2o_socket_t* ended, const char* failure) {
+            if (failure != nullptr) {
+                static_cast<probe*>(ended->data)->finish(probe_result::refused);
+            }
+        });
+    }
+
     // Closes the socket on a later turn, because h2o still uses it inside its own callback.
     void finish(probe_result result) {
         this->loop.cancel(this->timer);
+        if (this->socket != nullptr) {
+            h2o_socket_read_stop(this->socket);
+        }
         this->loop.after(duration::zero(), [owner = std::shared_ptr<probe>(this), result] {
             if (owner->socket != nullptr) {
                 h2o_socket_close(owner->socket);
@@ -34,7 +51,8 @@
     sockaddr_storage storage{};
     socklen_t length = address.to_sockaddr(storage);
     auto on_connect = [](h2o_socket_t* socket, const char* failure) {
-        static_cast<probe*>(socket->data)->finish(failure == nullptr ? probe_result::connected : probe_result::refused);
+        auto* self = static_cast<probe*>(socket->data);
+        failure == nullptr ? self->hold() : self->finish(probe_result::refused);
     };
     started->socket = h2o_socket_connect(loop.native(), reinterpret_cast<sockaddr*>(&storage), length, on_connect);
     if (started->socket == nullptr) {
--- a/tests/edge/test_processes.cpp
+++ b/tests/edge/test_processes.cpp
@@ -133,7 +133,7 @@
         return *received;
     }
     http_response until(const http_call& wanted, int status) {
-        http_response response;
+        http_response response{0, {}, ""};
         for (int i = 0; i < 100 && response.status != status; ++i) {
             response = this->call(wanted);
             this->loop.run_for(ms(50));
