--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -17,6 +17,10 @@
 // Outcomes. `not_run` is a statement about the key, not about one attempt: an earlier send of the same key may have
 // run through another edge. Only an attempt that holds a majority of the replicas can state it, so an edge must call
 // begin() before it refuses a non-idempotent request as not_run for any reason, and must report `unknown` otherwise.
+// For the same reason claim_quorum_unavailable and deadline_exceeded come with `unknown`.
+//
+// After not_dispatched() no request that began earlier can run: its refusal (claim_conflict, not_run) carries a retry
+// hint, since a resend that begins later can.
 
 #pragma once
 
@@ -268,7 +272,7 @@
     void set_members(ledger_members members);
 
     std::size_t running() const noexcept;      // attempts without an outcome; wait for 0 before stopping
-    std::size_t undelivered() const noexcept;  // outcomes not yet stored by all replicas; the same
+    std::size_t undelivered() const noexcept;  // outcomes not yet stored by a majority; the same
 
 private:
     struct waiter {
