Fix a crash on a missing idempotency key; test bad input with raw sockets

The exchange was moved into forward_once() before the key was read, so that the refusal went through a null pointer and ended the process. The exchange is now passed by reference. test_bad_input.cpp found it.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -69,8 +69,8 @@
           peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
                 metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
           http(loop, ip_address::parse(this->settings.http_address), this->http_options(),
-               [this](http_request request, std::shared_ptr<http_exchange> exchange) {
-                   this->handle(std::move(request), std::move(exchange));
+               [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
+                   this->handle(std::move(request), exchange);
                }) {
         this->edge.send_notices = [this](const auto& notices) { this->send_notices(notices); };
         this->connect(this->settings.control);
@@ -248,13 +248,13 @@
         return options;
     }
 
-    void handle(http_request request, std::shared_ptr<http_exchange> exchange) {
+    void handle(http_request request, const std::shared_ptr<http_exchange>& exchange) {
         if (auto refused = check_request(request)) {
             this->edge.refuse(*exchange, *refused);
             return;
         }
         if (request.path.starts_with("/s/")) {
-            this->forwarding.handle(std::move(request), std::move(exchange));
+            this->forwarding.handle(std::move(request), exchange);
             return;
         }
         if (request.path == "/v1/targets") {
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -65,12 +65,12 @@
 
 }  // namespace
 
-void forwarder::handle(http_request request, std::shared_ptr<http_exchange> exchange) {
+void forwarder::handle(http_request request, const std::shared_ptr<http_exchange>& exchange) {
     try {
         execution_order order = this->read(std::move(request));
         this->edge.meter.offered(order.service->name, order.caller_region);
-        order.service->idempotent ? this->forward(std::move(order), std::move(exchange))
-                                  : this->forward_once(std::move(order), std::move(exchange));
+        order.service->idempotent ? this->forward(std::move(order), exchange)
+                                  : this->forward_once(std::move(order), exchange);
     } catch (const refused_error& reason) {
         this->edge.refuse(*exchange, reason.refused);
     }
@@ -99,7 +99,7 @@
     return order;
 }
 
-void forwarder::forward(execution_order order, std::shared_ptr<http_exchange> exchange) {
+void forwarder::forward(execution_order order, const std::shared_ptr<http_exchange>& exchange) {
     time_point started = this->edge.loop.now();
     auto done = [this, exchange, started, name = order.service->name](execution_result result) {
         exchange->on_close(nullptr);
@@ -115,10 +115,9 @@
     run->start();
 }
 
-void forwarder::forward_once(execution_order order, std::shared_ptr<http_exchange> exchange) {
+void forwarder::forward_once(execution_order order, const std::shared_ptr<http_exchange>& exchange) {
     std::string key = read_key(order.request);
-    std::make_shared<once_request>(this->edge, this->ledger, std::move(order), std::move(exchange), std::move(key))
-        ->start();
+    std::make_shared<once_request>(this->edge, this->ledger, std::move(order), exchange, std::move(key))->start();
 }
 
 }  // namespace persimmongrade
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -21,12 +21,12 @@
 public:
     forwarder(edge_context& edge, ledger_service& ledger) : edge(edge), ledger(ledger) {}
 
-    void handle(http_request request, std::shared_ptr<http_exchange> exchange);
+    void handle(http_request request, const std::shared_ptr<http_exchange>& exchange);
 
 private:
     execution_order read(http_request request) const;
-    void forward(execution_order order, std::shared_ptr<http_exchange> exchange);
-    void forward_once(execution_order order, std::shared_ptr<http_exchange> exchange);
+    void forward(execution_order order, const std::shared_ptr<http_exchange>& exchange);
+    void forward_once(execution_order order, const std::shared_ptr<http_exchange>& exchange);
 
     edge_context& edge;
     ledger_service& ledger;
--- /dev/null
+++ b/tests/edge/test_bad_input.cpp
@@ -0,0 +1,82 @@
+// Guards the HTTP interface against malformed requests: typed JSON errors, counters, and a process that continues.
+
+#include <sys/socket.h>
+
+#include "edge_fixture.h"
+#include "persimmongrade/uuid.h"
+
+using namespace persimmongrade;
+
+namespace {
+
+// Sends raw bytes and returns what comes back until the connection has been quiet for 100 ms.
+std::string exchange_raw(edge_fixture& edge, const std::string& bytes) {
+    sockaddr_storage storage{};
+    socklen_t length = edge.http_address().to_sockaddr(storage);
+    int descriptor = ::socket(storage.ss_family, SOCK_STREAM, 0);
+    REQUIRE(::connect(descriptor, reinterpret_cast<sockaddr*>(&storage), length) == 0);
+    REQUIRE(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    edge.loop.run_for(ms(100));
+    std::string received(65536, '\0');
+    ssize_t size = ::recv(descriptor, received.data(), received.size(), MSG_DONTWAIT);
+    ::close(descriptor);
+    edge.loop.run_for(ms(20));
+    received.resize(static_cast<std::size_t>(std::max<ssize_t>(0, size)));
+    return received;
+}
+
+void check_error(const std::string& answer, int status, const std::string& type) {
+    INFO(answer);
+    CHECK(answer.starts_with("HTTP/1.1 " + std::to_string(status)));
+    CHECK(answer.find("application/json") != std::string::npos);
+    CHECK(answer.find(R"("error":")" + type + R"(")") != std::string::npos);
+}
+
+}  // namespace
+
+TEST_CASE("malformed requests get typed errors and are counted") {
+    edge_fixture edge;
+    const std::string head = "POST /s/orders/a HTTP/1.1\r\nhost: a\r\n";
+    auto refused = [&](const std::string& type) {
+        return edge.metric("persimmongrade_refusals_total{reason=\"" + type + "\"}");
+    };
+    check_error(exchange_raw(edge, head + "content-length: abc\r\n\r\n"), 400, "bad_request");
+    check_error(exchange_raw(edge, head + "content-length: -5\r\n\r\n"), 400, "bad_request");
+    check_error(exchange_raw(edge, head + "transfer-encoding: chunked\r\n\r\nZZ\r\n"), 400, "bad_request");
+    CHECK(refused("bad_request") == 3);
+    check_error(exchange_raw(edge, head + "content-length: 99999999\r\n\r\n"), 413, "request_too_large");
+    check_error(exchange_raw(edge, head + "x-long: " + std::string(30000, 'a') + "\r\ncontent-length: 0\r\n\r\n"), 413,
+                "request_too_large");
+    check_error(exchange_raw(edge, head + "content-length: 70000\r\n\r\n" + std::string(70000, 'b')), 413,
+                "request_too_large");
+    CHECK(refused("request_too_large") == 3);
+    check_error(exchange_raw(edge, "FROB /s/orders/a HTTP/1.1\r\nhost: a\r\n\r\n"), 405, "method_not_allowed");
+    check_error(exchange_raw(edge, "GET /v1/targets HTTP/1.1\r\nhost: a\r\n\r\n"), 405, "method_not_allowed");
+    check_error(exchange_raw(edge, head + "content-length: 0\r\n\r\n"), 400, "idempotency_key_missing");
+    check_error(exchange_raw(edge, head + "idempotency-key: 7\r\ncontent-length: 0\r\n\r\n"), 400,
+                "idempotency_key_invalid");
+    std::string key = "idempotency-key: " + make_uuid_v7(unix_time_ms()) + "\r\n";
+    check_error(exchange_raw(edge, head + key + "persimmon-deadline-ms: soon\r\ncontent-length: 0\r\n\r\n"), 400,
+                "bad_request");
+    check_error(exchange_raw(edge, "GET /s/none/a HTTP/1.1\r\nhost: a\r\n\r\n"), 404, "unknown_service");
+    check_error(exchange_raw(edge, "GET /v1/lookup?service=lookups&client=x HTTP/1.1\r\nhost: a\r\n\r\n"), 400,
+                "bad_request");
+    exchange_raw(edge, head + "content-length: 50\r\n\r\nhalf a request");
+    exchange_raw(edge, "\x01garbage\r\n\r\n");
+    CHECK(edge.call("GET", "/healthz").status == 200);
+}
+
+TEST_CASE("malformed announcements are refused and change nothing") {
+    edge_fixture edge;
+    const std::string valid = R"({"id":"t1","service":"lookups","address":"127.0.0.1:9","region":"north","zone":"z",)";
+    for (const std::string& body :
+         {std::string("not json"), std::string("[]"), valid + R"("state":"gone"})",
+          valid + R"("state":"ready","slots":-1})", valid + R"("state":"ready","load":"high"})",
+          std::string(R"({"id":"t1"})"), std::string(R"({"id":7,"service":"lookups"})")}) {
+        http_response response = edge.call("POST", "/v1/targets", {}, body);
+        INFO(body);
+        CHECK(response.status == 400);
+        CHECK(response.body.find(R"("error":"bad_request")") != std::string::npos);
+    }
+    CHECK(edge.call("GET", "/s/lookups/a").body.find(R"("error":"no_target")") != std::string::npos);
+}
