Poll without waiting after a timer or signal callback

h2o runs completions of writes that start outside h2o_evloop_run only after its next poll, which waited up to 100 ms. A closed loop of one connection that sends from client callbacks got 10 requests per second with a median of 100 ms. The next poll after such callbacks no longer waits; 20 chained requests of the new test finish within 1 s.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 #include "retained.h"
 
@@ -33,6 +34,9 @@
 
     h2o_evloop_t* loop = h2o_evloop_create();
     bool stopped = false;
+    // h2o runs the completions of writes that were started outside h2o_evloop_run (in timers, signals or before run())
+    // only after its next poll, so that poll must not wait.
+    bool work_started = true;
     timer_id next_id = 1;
     std::map<std::pair<time_point, timer_id>, timer> timers;
     std::unordered_map<timer_id, time_point> due_times;
@@ -56,6 +60,7 @@
             auto [due, id] = node.key();
             this->due_times.erase(id);
             timer entry = std::move(node.mapped());
+            this->work_started = true;
             if (entry.period == duration::zero()) {
                 entry.callback();
                 continue;
@@ -72,6 +77,7 @@
     void run_signal_callbacks() {
         for (auto& [number, callback] : this->signal_callbacks) {
             if (signal_pending.at(static_cast<std::size_t>(number)).exchange(false)) {
+                this->work_started = true;
                 callback();
             }
         }
@@ -83,6 +89,9 @@
             wake = std::min(wake, this->timers.begin()->first.first);
         }
         duration wait = std::max(duration::zero(), wake - steady_clock_ms::now());
+        if (std::exchange(this->work_started, false)) {
+            wait = duration::zero();
+        }
         h2o_evloop_run(this->loop, static_cast<std::int32_t>(wait.count()));
         this->run_due_timers();
         this->run_signal_callbacks();
@@ -102,6 +111,7 @@
 
 void event_loop::run() {
     this->state->stopped = false;
+    this->state->work_started = true;
     while (!this->state->stopped) {
         this->state->run_once(time_point::max());
     }
@@ -109,7 +119,9 @@
 
 void event_loop::run_for(duration length) {
     time_point until = steady_clock_ms::now() + length;
+    this->state->work_started = true;
     this->state->stopped = false;
+    this->state->work_started = true;
     while (!this->state->stopped && steady_clock_ms::now() < until) {
         this->state->run_once(until);
     }
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -64,6 +64,22 @@
     }
 }
 
+// Guards against waiting for a poll timeout of 100 ms between a request that is sent from a callback and its answer.
+TEST_CASE("requests sent from a callback of the client are answered without delay") {
+    event_loop loop;
+    http_server server(loop, test_address(8010), {}, [](const http_request&, const auto& exchange) {
+        exchange->respond({200, {}, "x"});
+    });
+    http_client client(loop);
+    int answered = 0;
+    std::function<void()> send = [&] {
+        client.send({test_address(8010)}, [&](const http_call_result&) { ++answered < 20 ? send() : loop.stop(); });
+    };
+    send();
+    loop.run_for(ms(1000));  // 20 requests took 2,000 ms with the fault
+    CHECK(answered == 20);
+}
+
 TEST_CASE("a refused connection is reported as connect_failed") {
     event_loop loop;
     http_client client(loop);
