Answer open watches and write the last answers before a planned stop

The loop ended at the first tick after the leadership was handed over, which could cut an answer that h2o had not yet written.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -41,6 +41,7 @@
 constexpr duration watch_timeout = ms(25000);      // a watch without changes is answered after this
 constexpr std::size_t max_pending_submissions = 10000;
 constexpr std::size_t max_watches = 1000;
+constexpr duration last_write_time = ms(20);       // lets the last answers leave the socket before the loop ends
 constexpr duration shift_tick = ms(100);           // a step moves traffic per seconds, so decisions need not be faster
 constexpr duration forget_edge_after = ms(30000);  // a silent edge's measurements freeze shifts until then
 constexpr duration join_interval = ms(500);        // between requests to be added, to one process after the other
@@ -125,6 +126,7 @@
     std::vector<watch> watches;
     bool flush_scheduled = false;
     bool is_stopping = false;
+    bool is_stopped = false;
     prometheus::Counter& submissions;
     std::vector<prometheus::Counter*> refusals;  // by operator_error
     prometheus::Counter& bad_pings;
@@ -878,6 +880,9 @@
         }
         log_info("planned stop", field("leader", this->log.is_leader()));
         this->http.close_listener();
+        for (watch& waiting : std::exchange(this->watches, {})) {
+            this->refuse(waiting.exchange, operator_error::stopping, "the process is stopping");
+        }
         try {
             this->log.transfer_leadership(this->loop.now());
         } catch (const error& reason) {  // not_leader_error or transfer_error: there is nothing to hand over
@@ -886,9 +891,10 @@
         time_point latest = this->loop.now() + ms(this->settings.stop_timeout_ms);
         this->loop.every(consensus_tick, [this, latest] {
             bool alone = this->log.voters().voters.size() <= 1;
-            bool done = this->proposed.empty() && this->queue.empty() && (alone || !this->log.is_leader());
-            if (done || this->loop.now() >= latest) {
-                this->loop.stop();
+            bool answered = this->proposed.empty() && this->queue.empty() && this->http.open_exchanges() == 0;
+            bool done = answered && (alone || !this->log.is_leader());
+            if ((done || this->loop.now() >= latest) && !std::exchange(this->is_stopped, true)) {
+                this->loop.after(last_write_time, [this] { this->loop.stop(); });
             }
         });
     }
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -251,6 +251,41 @@
     CHECK(c.ask("GET", "/v1/records")["records"].size() == 61);
 }
 
+TEST_CASE("bad input is refused with a typed error and leaves the process running") {
+    cluster c;
+    int leader = c.leader();
+    auto error_of = [&](const std::string& method, const std::string& target, const std::string& id,
+                        const std::string& body) {
+        http_response response = c.call(leader, method, target, id, body);
+        json parsed = json::parse(response.body, nullptr, false);
+        return std::to_string(response.status) + " " + (parsed.is_object() ? parsed.value("error", "") : "");
+    };
+    CHECK(error_of("POST", "/v1/records", "", "schema_version: 1") == "400 bad_request");
+    CHECK(error_of("POST", "/v1/records", std::string(200, 'x'), "") == "400 bad_request");
+    CHECK(error_of("POST", "/v1/records", "1", "\x01{[") == "400 invalid_record");
+    CHECK(error_of("POST", "/v1/drains", "2", "{\"target\":7}") == "400 bad_request");
+    CHECK(error_of("POST", "/v1/members", "", "{\"id\":\"x\"}") == "400 bad_request");
+    CHECK(error_of("DELETE", "/v1/records/r?version=x", "3", "") == "400 bad_request");
+    CHECK(error_of("DELETE", "/v1/drains/absent", "4", "") == "404 not_found");
+    CHECK(error_of("PATCH", "/v1/records", "", "") == "405 method_not_allowed");
+    CHECK(error_of("GET", "/v1/nothing", "", "") == "404 not_found");
+    CHECK(error_of("GET", "/v1/watch?after=-1", "", "") == "400 bad_request");
+    CHECK(c.call(leader, "POST", "/v1/records", "5", std::string(2u << 20, 'x')).status == 413);
+    for (const std::string& port : {c.http(leader), c.peer(leader)}) {
+        sockaddr_storage address{};
+        socklen_t length = ip_address::parse(port).to_sockaddr(address);
+        int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        REQUIRE(::connect(socket, reinterpret_cast<sockaddr*>(&address), length) == 0);
+        std::string noise(4096, '\xff');
+        CHECK(::write(socket, noise.data(), noise.size()) > 0);
+        ::close(socket);
+    }
+    c.loop.run_for(ms(100));
+    std::string metrics = c.call(leader, "GET", "/metrics").body;
+    CHECK(metrics.find("persimmongrade_operator_refusals_total{error=\"bad_request\"} 6") != std::string::npos);
+    CHECK(metrics.find("persimmongrade_peer_corrupt_frames_total 1") != std::string::npos);
+}
+
 TEST_CASE("SIGTERM hands the leadership over and exits with 0") {
     cluster c;
     c.submit("1", "r", 1);
