--- a/include/persimmongrade/http_server.h
+++ b/include/persimmongrade/http_server.h
@@ -4,7 +4,8 @@
 //         exchange->respond({200, {}, "hello"});
 //     });
 //
-// Bodies are read whole before the handler runs and sent whole, with Content-Length.
+// Bodies are read whole before the handler runs and sent whole, with Content-Length. A handler that states another
+// content-length than the size of its body produces a truncated answer and a closed connection.
 
 #pragma once
 
@@ -22,6 +23,9 @@
 struct http_server_options {
     std::size_t max_body_bytes = 1048576;
     duration request_timeout = ms(10000);  // from the first byte of a request to its last
+    // Makes the answer to a request that the HTTP layer rejects itself, from its status (400, 413 and others). The body
+    // replaces the one of h2o. Empty: a generic JSON error.
+    std::function<http_response(int status)> rejection;
 };
 
 // One request being answered. Only the first call of respond() has an effect.
@@ -44,6 +48,7 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    void close_after_answer();           // ends connections after their next answer; new connections are still accepted
     void close_listener();               // accepts no new connections; open ones are told to close after their request
     std::size_t open_exchanges() const;  // requests not yet answered
     std::uint64_t rejected_requests() const;  // malformed or oversized requests answered by the HTTP layer itself
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -87,6 +87,15 @@
     return latencies;
 }
 
+template <typename Items>
+nlohmann::json to_json_list(const Items& items) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& item : items) {
+        list.push_back(to_json(item));
+    }
+    return list;
+}
+
 std::optional<std::uint64_t> parse_count(const std::optional<std::string>& text) {
     if (!text || text->empty() || text->size() > 18 || text->find_first_not_of("0123456789") != std::string::npos) {
         return std::nullopt;
@@ -802,39 +811,44 @@
         exchange->respond(json_answer(200, this->described(*record)));
     }
 
+    nlohmann::json member_list() const {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& voter : this->log.voters().voters) {
+            list.push_back({{"id", voter->id}, {"address", voter->address}, {"voting", voter->voting}});
+        }
+        return list;
+    }
+
+    nlohmann::json assignment_list() const {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& assignment : this->store.configuration().assignments) {
+            list.push_back(to_json(*assignment));
+        }
+        return list;
+    }
+
     // With revision=N the answer says whether that revision is in force; otherwise the newest one.
     void get_status(const http_request& request, const exchange_pointer& exchange) {
         time_point now = this->loop.now();
         std::uint64_t revision = parse_count(request.query_value("revision")).value_or(this->store.revision());
         auto missing = this->distributor.not_in_force(now, revision);
-        nlohmann::json edges = nlohmann::json::array();
-        for (const wire::edge_info_t& edge : this->distributor.edges(now)) {
-            edges.push_back(to_json(edge));
-        }
-        nlohmann::json drains = nlohmann::json::array();
-        for (const drain_status& drain : this->distributor.drains(now)) {
-            drains.push_back(to_json(drain));
-        }
-        nlohmann::json assignments = nlohmann::json::array();
-        for (const auto& assignment : this->store.configuration().assignments) {
-            assignments.push_back(to_json(*assignment));
-        }
-        nlohmann::json members = nlohmann::json::array();
-        for (const auto& voter : this->log.voters().voters) {
-            members.push_back({{"id", voter->id}, {"address", voter->address}, {"voting", voter->voting}});
-        }
         bool in_force = missing.empty() && revision <= this->store.revision();
-        exchange->respond(json_answer(200, {{"leader", this->name_of(this->log.leader_id())},
-                                            {"members", members},
-                                            {"term", this->log.term()},
-                                            {"revision", this->store.revision()},
-                                            {"asked_revision", revision},
-                                            {"in_force", in_force},
-                                            {"not_in_force", missing},
-                                            {"edges", edges},
-                                            {"drains", drains},
-                                            {"shifts", this->shift_states()},
-                                            {"assignments", assignments}}));
+        nlohmann::json status = {{"leader", this->name_of(this->log.leader_id())},
+                                 {"members", this->member_list()},
+                                 {"term", this->log.term()},
+                                 {"revision", this->store.revision()},
+                                 {"asked_revision", revision},
+                                 {"in_force", in_force},
+                                 {"not_in_force", missing},
+                                 {"edges", to_json_list(this->distributor.edges(now))},
+                                 {"drains", to_json_list(this->distributor.drains(now))},
+                                 {"shifts", this->shift_states()},
+                                 {"assignments", this->assignment_list()}};
+        status["resources"] = nlohmann::json::array();
+        if (this->granter.leading()) {
+            status["resources"] = to_json_list(this->granter.rate_uses(now));
+        }
+        exchange->respond(json_answer(200, status));
     }
 
     // Answers as soon as the revision is above `after`, or with the unchanged revision after the timeout.
--- /dev/null
+++ b/src/edge/edge_server.cpp
@@ -0,0 +1,352 @@
+#include "persimmongrade/edge_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+#include "announcement.h"
+#include "edge_context.h"
+#include "forwarder.h"
+#include "ledger_service.h"
+#include "persimmongrade/http_server.h"
+#include "persimmongrade/log.h"
+#include "persimmongrade/peer_transport.h"
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr duration ping_period = ms(250);
+constexpr duration maintenance_period = ms(250);
+constexpr duration queue_period = ms(5);  // rate limits free capacity without an event
+constexpr duration stop_check_period = ms(20);
+constexpr std::size_t max_header_bytes = 16384;  // names and values of one request
+constexpr std::array<std::string_view, 7> known_methods{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"};
+
+// Checks that apply to every path. Returns the refusal of a bad request.
+std::optional<refusal> check_request(const http_request& request) {
+    if (message_bytes(request.headers, request.path.size() + request.query.size()) > max_header_bytes) {
+        return refusal{wire::refusal_reason::request_too_large, wire::outcome::none,
+                       "the header exceeds " + std::to_string(max_header_bytes) + " bytes"};
+    }
+    bool known = std::find(known_methods.begin(), known_methods.end(), request.method) != known_methods.end();
+    bool announcement = request.path == "/v1/targets";
+    bool read_only = !announcement && !request.path.starts_with("/s/");
+    bool allowed = known && (!announcement || request.method == "POST") &&
+                   (!read_only || request.method == "GET" || request.method == "HEAD");
+    if (!allowed) {
+        return refusal{wire::refusal_reason::method_not_allowed, wire::outcome::none,
+                       "method '" + request.method + "' is not allowed here"};
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+struct edge_server::impl {
+    event_loop& loop;
+    wire::edge_settings_t settings;
+    metric_registry& metrics;
+    std::uint64_t incarnation = static_cast<std::uint64_t>(unix_time_ms());
+    edge_context edge;
+    ledger_service ledger;
+    forwarder forwarding;
+    peer_transport peers;
+    http_server http;
+    std::vector<std::unique_ptr<wire::edge_info_t>> live_edges;
+    std::vector<timer_id> timers;
+    std::function<void()> on_stopped;
+    time_point stop_started{};
+    timer_id stop_timer = 0;
+
+    impl(event_loop& loop, wire::edge_settings_t initial, metric_registry& metrics, edge_options options)
+        : loop(loop), settings(std::move(initial)), metrics(metrics),
+          edge(loop, this->settings, metrics, this->incarnation),
+          ledger(loop, this->settings, this->incarnation, options.first_start, this->ledger_routes()),
+          forwarding(this->edge, this->ledger),
+          peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
+                metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
+          http(loop, ip_address::parse(this->settings.http_address), this->http_options(),
+               [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+                   this->handle(std::move(request), std::move(exchange));
+               }) {
+        this->edge.send_notices = [this](const auto& notices) { this->send_notices(notices); };
+        this->connect(this->settings.control);
+        this->connect(this->settings.edges);
+        this->timers.push_back(loop.every(ping_period, [this] { this->ping(); }));
+        this->timers.push_back(loop.every(queue_period, [this] { this->edge.retry_waiting(); }));
+        this->timers.push_back(loop.every(maintenance_period, [this] { this->maintain_targets(); }));
+    }
+
+    ~impl() {
+        for (timer_id id : this->timers) {
+            this->loop.cancel(id);
+        }
+    }
+
+    void connect(const std::vector<std::unique_ptr<wire::peer_settings_t>>& list) {
+        for (const auto& peer : list) {
+            if (peer->id != this->settings.id) {
+                this->peers.add_peer(peer->id, ip_address::parse(peer->address), this->delay_to(peer->region));
+            }
+        }
+    }
+
+    duration delay_to(const std::string& region) const {
+        for (const auto& latency : this->settings.simulated_latency) {
+            if (latency->to_region == region) {
+                return ms(latency->one_way_ms);
+            }
+        }
+        return duration::zero();
+    }
+
+    // ---- Control processes ----
+
+    void ping() {
+        wire::edge_ping_t ping;
+        ping.incarnation = this->incarnation;
+        ping.state = this->edge.state;
+        ping.region = this->settings.region;
+        ping.zone = this->settings.zone;
+        ping.http_address = this->settings.http_address;
+        ping.peer_address = this->settings.peer_address;
+        ping.ledger_voting = this->ledger.voting();
+        for (wire::target_outstanding_t& entry : this->edge.targets.all_outstanding()) {
+            ping.outstanding.push_back(std::make_unique<wire::target_outstanding_t>(std::move(entry)));
+        }
+        time_point now = this->loop.now();
+        this->edge.meter.report(ping, this->edge.index->configuration(), this->edge.targets, now);
+        this->edge.leases.prepare(ping, now);
+        this->perform(this->edge.config.ping(now, std::move(ping)));
+    }
+
+    void perform(config_actions actions) {
+        for (outgoing_message& message : actions.messages) {
+            this->peers.send_message(message.to, std::move(message.message));
+        }
+        if (actions.applied) {
+            this->edge.index = std::make_shared<const configuration_index>(this->edge.config.configuration());
+            this->edge.lookups.apply(this->edge.index->configuration());
+            this->edge.leases.apply(this->edge.index->configuration(), this->loop.now());
+            this->edge.targets.set_drains(this->loop.now(), this->edge.index->drained_targets());
+            log_info("configuration applied", field("revision", this->edge.config.revision()));
+        }
+        bool first_lease =
+            this->edge.state == wire::edge_state::starting && this->edge.config.lease_valid(this->loop.now());
+        if (first_lease) {
+            this->edge.state = wire::edge_state::serving;
+        }
+    }
+
+    // ---- Peer messages ----
+
+    void receive(const wire::envelope_t& envelope) {
+        time_point now = this->loop.now();
+        const wire::messageUnion& body = envelope.body;
+        switch (body.type) {
+        case wire::message::edge_pong: {
+            wire::edge_pong_t pong(*body.Asedge_pong());
+            if (pong.incarnation == 0) {
+                pong.incarnation = this->incarnation;  // until control binds its lease granter
+            }
+            config_actions actions = this->edge.config.receive(now, envelope.from, pong);
+            if (actions.pong_accepted) {
+                this->edge.leases.receive(pong, now);
+                this->live_edges = std::move(pong.edges);
+                this->edge.lookups.set_edges(this->live_edges, this->ready());
+            }
+            this->perform(std::move(actions));
+            return;
+        }
+        case wire::message::not_leader:
+            this->perform(this->edge.config.receive(now, envelope.from, *body.Asnot_leader()));
+            return;
+        case wire::message::config_push:
+            this->perform(this->edge.config.receive(now, envelope.from, *body.Asconfig_push()));
+            return;
+        case wire::message::target_update:
+            this->apply_update(*body.Astarget_update());
+            return;
+        case wire::message::quarantine_notice:
+            this->send_notices(this->edge.crashes.receive(now, *body.Asquarantine_notice()));
+            return;
+        default:
+            this->ledger.receive(envelope.from, body);
+            return;
+        }
+    }
+
+    ledger_peers ledger_routes() {
+        auto send = [this](const std::string& to, const ledger_message_body& body) {
+            std::visit([&](const auto& message) { this->peers.send(to, message); }, body);
+        };
+        return {send, [this](const std::string& edge_id) { return this->peers.connected(edge_id); }};
+    }
+
+    // ---- Targets ----
+
+    void maintain_targets() {
+        time_point now = this->loop.now();
+        for (const target_choice& gone : this->edge.targets.tick(now)) {
+            this->send_notices(this->edge.crashes.target_gone(now, gone.service, gone.id));
+        }
+        this->edge.crashes.tick(now);
+        this->edge.lookups.set_edges(this->live_edges, this->ready());  // readiness may have ended
+    }
+
+    void apply_update(const wire::target_update_t& update) {
+        this->edge.targets.apply(this->loop.now(), update);
+        for (const auto& target : update.targets) {
+            this->edge.crashes.target_alive(target->service, target->id);
+        }
+    }
+
+    void announce(const http_request& request, http_exchange& exchange) {
+        wire::target_info_t target = parse_announcement(request.body);
+        time_point now = this->loop.now();
+        if (this->edge.targets.announce(now, target)) {
+            this->edge.crashes.target_alive(target.service, target.id);
+            wire::target_update_t update = this->edge.targets.take_delta(now);
+            this->send_to_edges(update);
+            if (!this->edge.config.leader().empty()) {
+                this->peers.send(this->edge.config.leader(), std::move(update));
+            }
+        }
+        exchange.respond(announcement_response(this->edge.index->drained(target.id)));
+    }
+
+    template <typename Body>
+    void send_to_edges(const Body& body) {
+        for (const auto& peer : this->settings.edges) {
+            if (peer->id != this->settings.id) {
+                this->peers.send(peer->id, Body(body));
+            }
+        }
+    }
+
+    void send_notices(const std::vector<wire::quarantine_notice_t>& notices) {
+        for (const wire::quarantine_notice_t& notice : notices) {
+            this->send_to_edges(notice);
+        }
+    }
+
+    // ---- HTTP ----
+
+    http_server_options http_options() {
+        http_server_options options;
+        options.max_body_bytes = this->settings.max_body_bytes;
+        options.rejection = [this](int status) {
+            constexpr int too_large = 413;
+            auto reason =
+                status == too_large ? wire::refusal_reason::request_too_large : wire::refusal_reason::bad_request;
+            this->edge.refusals.count(reason);
+            return refusal_response({reason, wire::outcome::none, "the request is malformed or too large"});
+        };
+        return options;
+    }
+
+    void handle(http_request request, std::shared_ptr<http_exchange> exchange) {
+        if (auto refused = check_request(request)) {
+            this->edge.refuse(*exchange, *refused);
+            return;
+        }
+        if (request.path.starts_with("/s/")) {
+            this->forwarding.handle(std::move(request), std::move(exchange));
+            return;
+        }
+        if (request.path == "/v1/targets") {
+            try {
+                this->announce(request, *exchange);
+            } catch (const announcement_error& reason) {
+                this->edge.refuse(*exchange, {wire::refusal_reason::bad_request, wire::outcome::none, reason.what()});
+            }
+            return;
+        }
+        if (request.path == "/v1/lookup") {
+            this->lookup(request, *exchange);
+            return;
+        }
+        this->handle_status(request, *exchange);
+    }
+
+    void lookup(const http_request& request, http_exchange& exchange) {
+        std::string service = request.query_value("service").value_or("");
+        if (this->edge.index->service(service) == nullptr) {
+            this->edge.refuse(exchange, {wire::refusal_reason::unknown_service, wire::outcome::none,
+                                         "no record declares service '" + service + "'"});
+            return;
+        }
+        try {
+            exchange.respond(this->edge.lookups.answer(request));
+        } catch (const client_block_error& reason) {
+            this->edge.refuse(exchange, {wire::refusal_reason::bad_request, wire::outcome::none, reason.what()});
+        }
+    }
+
+    void handle_status(const http_request& request, http_exchange& exchange) {
+        if (request.path == "/healthz") {
+            exchange.respond(json_response(200, R"({"status":"ok"})"));
+        } else if (request.path == "/readyz") {
+            bool ready = this->ready();
+            exchange.respond(json_response(ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"));
+        } else if (request.path == "/metrics") {
+            exchange.respond({200, {{"content-type", "text/plain; version=0.0.4"}}, this->metrics.text()});
+        } else {
+            this->edge.refuse(exchange, {wire::refusal_reason::bad_request, wire::outcome::none, "unknown path"});
+        }
+    }
+
+    bool ready() const {
+        return this->edge.state == wire::edge_state::serving && this->edge.config.lease_valid(this->loop.now());
+    }
+
+    // ---- Planned stop ----
+
+    void stop(std::function<void()> callback) {
+        if (this->on_stopped) {
+            return;
+        }
+        this->on_stopped = std::move(callback);
+        this->edge.state = wire::edge_state::stopping;
+        this->http.close_after_answer();
+        this->ping();
+        this->stop_started = this->loop.now();
+        this->stop_timer = this->loop.every(stop_check_period, [this] { this->check_stopped(); });
+        this->timers.push_back(this->stop_timer);
+    }
+
+    // Cached lookup answers still send callers here until they expire.
+    void check_stopped() {
+        duration elapsed = this->loop.now() - this->stop_started;
+        bool cached_answers_expired = elapsed >= ms(this->settings.lookup_ttl_ms);
+        bool idle = this->edge.running_requests == 0 && this->http.open_exchanges() == 0 && this->ledger.idle();
+        bool late = elapsed >= ms(this->settings.stop_timeout_ms);
+        if (cached_answers_expired) {
+            this->http.close_listener();
+        }
+        if ((cached_answers_expired && idle) || late) {
+            log_info("planned stop", field("idle", idle), field("elapsed_ms", elapsed.count()));
+            this->loop.cancel(this->stop_timer);
+            this->on_stopped();
+        }
+    }
+};
+
+edge_server::edge_server(event_loop& loop, wire::edge_settings_t settings, metric_registry& metrics,
+                         edge_options options)
+    : state(std::make_unique<impl>(loop, std::move(settings), metrics, options)) {}
+
+edge_server::~edge_server() = default;
+
+void edge_server::stop(std::function<void()> on_stopped) {
+    this->state->stop(std::move(on_stopped));
+}
+
+bool edge_server::ready() const {
+    return this->state->ready();
+}
+
+}  // namespace persimmongrade
