Answer records above the size bound with a typed error

A run under ctest failed once: h2o answers 413 to a body above its bound and closes the connection while the body still arrives, so the caller may lose the answer. The HTTP bound is now four times the record bound, and the record parser refuses with too_large.

--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -39,6 +39,9 @@
 constexpr duration publication_delay = distribution_options{}.publish_interval + 2 * distribution_tick;
 constexpr duration submission_timeout = ms(5000);  // then the answer is outcome_unknown
 constexpr duration watch_timeout = ms(25000);      // a watch without changes is answered after this
+// Above the largest record, so that a record that is too large gets a typed answer: beyond this bound, h2o closes the
+// connection while the body is still arriving, and the caller may never see the answer.
+constexpr std::size_t max_http_body_bytes = 4 * max_record_bytes;
 constexpr std::size_t max_pending_submissions = 10000;
 constexpr std::size_t max_watches = 1000;
 constexpr duration last_write_time = ms(20);       // lets the last answers leave the socket before the loop ends
@@ -152,7 +155,7 @@
           log(*this, log_options(this->settings), data_options(this->settings, options), loop.now()),
           peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
                 this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
-          http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_record_bytes},
+          http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_http_body_bytes},
                [this](const http_request& request, const exchange_pointer& exchange) {
                    this->handle(request, exchange);
                }),
