--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -39,8 +39,12 @@
 constexpr duration publication_delay = distribution_options{}.publish_interval + 2 * distribution_tick;
 constexpr duration submission_timeout = ms(5000);  // then the answer is outcome_unknown
 constexpr duration watch_timeout = ms(25000);      // a watch without changes is answered after this
+// Above the largest record, so that a record that is too large gets a typed answer: beyond this bound, h2o closes the
+// connection while the body is still arriving, and the caller may never see the answer.
+constexpr std::size_t max_http_body_bytes = 4 * max_record_bytes;
 constexpr std::size_t max_pending_submissions = 10000;
 constexpr std::size_t max_watches = 1000;
+constexpr duration last_write_time = ms(20);       // lets the last answers leave the socket before the loop ends
 constexpr duration shift_tick = ms(100);           // a step moves traffic per seconds, so decisions need not be faster
 constexpr duration forget_edge_after = ms(30000);  // a silent edge's measurements freeze shifts until then
 constexpr duration join_interval = ms(500);        // between requests to be added, to one process after the other
@@ -86,6 +90,15 @@
     return latencies;
 }
 
+template <typename Items>
+nlohmann::json to_json_list(const Items& items) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& item : items) {
+        list.push_back(to_json(item));
+    }
+    return list;
+}
+
 std::optional<std::uint64_t> parse_count(const std::optional<std::string>& text) {
     if (!text || text->empty() || text->size() > 18 || text->find_first_not_of("0123456789") != std::string::npos) {
         return std::nullopt;
@@ -125,6 +138,7 @@
     std::vector<watch> watches;
     bool flush_scheduled = false;
     bool is_stopping = false;
+    bool is_stopped = false;
     prometheus::Counter& submissions;
     std::vector<prometheus::Counter*> refusals;  // by operator_error
     prometheus::Counter& bad_pings;
@@ -141,7 +155,7 @@
           log(*this, log_options(this->settings), data_options(this->settings, options), loop.now()),
           peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
                 this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
-          http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_record_bytes},
+          http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_http_body_bytes},
                [this](const http_request& request, const exchange_pointer& exchange) {
                    this->handle(request, exchange);
                }),
@@ -800,46 +814,44 @@
         exchange->respond(json_answer(200, this->described(*record)));
     }
 
+    nlohmann::json member_list() const {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& voter : this->log.voters().voters) {
+            list.push_back({{"id", voter->id}, {"address", voter->address}, {"voting", voter->voting}});
+        }
+        return list;
+    }
+
+    nlohmann::json assignment_list() const {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& assignment : this->store.configuration().assignments) {
+            list.push_back(to_json(*assignment));
+        }
+        return list;
+    }
+
     // With revision=N the answer says whether that revision is in force; otherwise the newest one.
     void get_status(const http_request& request, const exchange_pointer& exchange) {
         time_point now = this->loop.now();
         std::uint64_t revision = parse_count(request.query_value("revision")).value_or(this->store.revision());
         auto missing = this->distributor.not_in_force(now, revision);
-        nlohmann::json edges = nlohmann::json::array();
-        for (const wire::edge_info_t& edge : this->distributor.edges(now)) {
-            edges.push_back(to_json(edge));
-        }
-        nlohmann::json drains = nlohmann::json::array();
-        for (const drain_status& drain : this->distributor.drains(now)) {
-            drains.push_back(to_json(drain));
-        }
-        nlohmann::json assignments = nlohmann::json::array();
-        for (const auto& assignment : this->store.configuration().assignments) {
-            assignments.push_back(to_json(*assignment));
-        }
-        nlohmann::json resources = nlohmann::json::array();
+        bool in_force = missing.empty() && revision <= this->store.revision();
+        nlohmann::json status = {{"leader", this->name_of(this->log.leader_id())},
+                                 {"members", this->member_list()},
+                                 {"term", this->log.term()},
+                                 {"revision", this->store.revision()},
+                                 {"asked_revision", revision},
+                                 {"in_force", in_force},
+                                 {"not_in_force", missing},
+                                 {"edges", to_json_list(this->distributor.edges(now))},
+                                 {"drains", to_json_list(this->distributor.drains(now))},
+                                 {"shifts", this->shift_states()},
+                                 {"assignments", this->assignment_list()}};
+        status["resources"] = nlohmann::json::array();
         if (this->granter.leading()) {
-            for (const resource_use& use : this->granter.rate_uses(now)) {
-                resources.push_back(to_json(use));
-            }
-        }
-        nlohmann::json members = nlohmann::json::array();
-        for (const auto& voter : this->log.voters().voters) {
-            members.push_back({{"id", voter->id}, {"address", voter->address}, {"voting", voter->voting}});
+            status["resources"] = to_json_list(this->granter.rate_uses(now));
         }
-        bool in_force = missing.empty() && revision <= this->store.revision();
-        exchange->respond(json_answer(200, {{"leader", this->name_of(this->log.leader_id())},
-                                            {"members", members},
-                                            {"term", this->log.term()},
-                                            {"revision", this->store.revision()},
-                                            {"asked_revision", revision},
-                                            {"in_force", in_force},
-                                            {"not_in_force", missing},
-                                            {"edges", edges},
-                                            {"drains", drains},
-                                            {"shifts", this->shift_states()},
-                                            {"assignments", assignments},
-                                            {"resources", resources}}));
+        exchange->respond(json_answer(200, status));
     }
 
     // Answers as soon as the revision is above `after`, or with the unchanged revision after the timeout.
@@ -885,6 +897,9 @@
         }
         log_info("planned stop", field("leader", this->log.is_leader()));
         this->http.close_listener();
+        for (watch& waiting : std::exchange(this->watches, {})) {
+            this->refuse(waiting.exchange, operator_error::stopping, "the process is stopping");
+        }
         try {
             this->log.transfer_leadership(this->loop.now());
         } catch (const error& reason) {  // not_leader_error or transfer_error: there is nothing to hand over
@@ -893,9 +908,10 @@
         time_point latest = this->loop.now() + ms(this->settings.stop_timeout_ms);
         this->loop.every(consensus_tick, [this, latest] {
             bool alone = this->log.voters().voters.size() <= 1;
-            bool done = this->proposed.empty() && this->queue.empty() && (alone || !this->log.is_leader());
-            if (done || this->loop.now() >= latest) {
-                this->loop.stop();
+            bool answered = this->proposed.empty() && this->queue.empty() && this->http.open_exchanges() == 0;
+            bool done = answered && (alone || !this->log.is_leader());
+            if ((done || this->loop.now() >= latest) && !std::exchange(this->is_stopped, true)) {
+                this->loop.after(last_write_time, [this] { this->loop.stop(); });
             }
         });
     }
