--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -138,6 +138,7 @@
             this->edge.state == wire::edge_state::starting && this->edge.config.lease_valid(this->loop.now());
         if (first_lease) {
             this->edge.state = wire::edge_state::serving;
+            this->ping();  // the other edges learn of it without waiting for the next period
         }
     }
 
@@ -149,9 +150,6 @@
         switch (body.type) {
         case wire::message::edge_pong: {
             wire::edge_pong_t pong(*body.Asedge_pong());
-            if (pong.incarnation == 0) {
-                pong.incarnation = this->incarnation;  // until control binds its lease granter
-            }
             config_actions actions = this->edge.config.receive(now, envelope.from, pong);
             if (actions.pong_accepted) {
                 this->edge.leases.receive(pong, now);
--- a/tests/edge/test_processes.cpp
+++ b/tests/edge/test_processes.cpp
@@ -183,6 +183,7 @@
     http_response answer = run.until({run.edges[1], "GET", "/s/lookups/records/7", {{"x-answer-bytes", "500"}}}, 200);
     CHECK(answer.body.size() == 500);
     CHECK(answer.body.starts_with("/records/7"));
+    run.loop.run_for(ms(600));  // every edge has reported that it serves, and every other one has heard of it
     CHECK(run.until({run.edges[2], "GET", "/v1/lookup?service=lookups"}, 200).body.find("edge-north") !=
           std::string::npos);
 
