Lease a slot on each local target before the first request

Asking early alone did not suffice, because slots of other edges are freed only after 1 s or more. Change: every ping asks for at least one slot and connection on each live target of the own region.

--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -246,6 +246,8 @@
     // Applies a configuration revision; older revisions are ignored. Leases of a resource whose limit fell are dropped
     // until a leader that knows the revision grants again.
     void apply(const wire::configuration_t& configuration, time_point now);
+    // Reports a demand of at least `amount` with the next ping, before a request claims it. Concurrency only.
+    void anticipate(const resource& subject, double amount, time_point now);
     // Sets sequence, applied_revision, demands and answered_* of a ping that is sent now to all control processes. The
     // caller has set the incarnation.
     void prepare(wire::edge_ping_t& ping, time_point now);
@@ -291,6 +293,7 @@
         double used = 0;      // rates: admitted since the last ping; concurrency: highest use since the last ping
         double largest_refused = 0;  // rates: largest claim above the size of the bucket since the last ping
         double wanted = 0;           // demand as reported, unit of the resource
+        double anticipated = 0;      // concurrency only: least demand to report with the next ping
         time_point measured_at{};
         time_point claimed_at{};
     };
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -123,6 +123,20 @@
         });
     }
 
+    // Asks for one slot on each live target of the own region. An edge without floor slots on a target would otherwise
+    // refuse the first requests after an idle time, until its first lease.
+    void anticipate_local_requests(time_point now) {
+        for (const std::string& service : this->edge.targets.services()) {
+            for (const target_view& view : this->edge.targets.view(now, service)) {
+                bool local = view.target.region == this->settings.region && !view.draining && !view.ejected;
+                if (local) {
+                    this->edge.leases.anticipate(slots_resource(service, view.target.id), 1, now);
+                    this->edge.leases.anticipate(connections_resource(service, view.target.id), 1, now);
+                }
+            }
+        }
+    }
+
     void ping() {
         this->last_ping_at = this->loop.now();
         wire::edge_ping_t ping;
@@ -138,6 +152,7 @@
         }
         time_point now = this->loop.now();
         this->edge.meter.report(ping, this->edge.index->configuration(), this->edge.targets, now);
+        this->anticipate_local_requests(now);
         this->edge.leases.prepare(ping, now);
         this->perform(this->edge.config.ping(now, std::move(ping)));
     }
--- a/src/limits/lease_holder.cpp
+++ b/src/limits/lease_holder.cpp
@@ -85,7 +85,7 @@
         double fraction = this->limits.burst(this->edges.size(), subject);
         demand = std::max(demand, entry.largest_refused * size_margin / fraction);
     } else {
-        demand = std::max(entry.used, entry.in_use) + entry.asked;
+        demand = std::max(std::max(entry.used, entry.in_use) + entry.asked, entry.anticipated);
     }
     entry.wanted = std::min(entry.limit, std::max(demand, entry.wanted * demand_decay));
     if (demand == 0 && entry.wanted < std::max(entry.floor, 1.0) * negligible_demand) {
@@ -100,6 +100,12 @@
     std::erase_if(this->sent, [&](const auto& item) { return now >= item.second + sent_kept; });
 }
 
+void lease_holder::anticipate(const resource& subject, double amount, time_point now) {
+    share& entry = this->share_of(subject, now);
+    entry.anticipated = amount;
+    entry.claimed_at = now;
+}
+
 void lease_holder::prepare(wire::edge_ping_t& ping, time_point now) {
     this->forget_idle(now);
     this->incarnation = ping.incarnation;
@@ -123,6 +129,7 @@
             demand->used = is_rate(subject) ? entry.used : entry.in_use;
         }
         entry.asked = 0;
+        entry.anticipated = 0;
         entry.used = entry.in_use;
         entry.largest_refused = 0;
         entry.measured_at = now;
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -476,6 +476,29 @@
     }
 }
 
+// Guards against refusals of the first requests on an edge that has no floor slot and no lease yet.
+TEST_CASE("an edge can lease a slot before its first request") {
+    const auto names = edge_names(7);
+    const auto configuration = make_configuration(1, 400, 64, 6);
+    auto without_floor = std::find_if(names.begin(), names.end(), [&](const std::string& edge) {
+        return floor_share(configuration, names, edge, slots) == 0;
+    });
+    REQUIRE(without_floor != names.end());
+    lease_granter granter(names);
+    lease_holder holder(*without_floor, names);
+    granter.apply(configuration, time_point(ms(0)));
+    holder.apply(configuration, time_point(ms(0)));
+    granter.become_leader(1, time_point(ms(0)));
+    for (std::int64_t t = 0; t < 10000; t += 250) {
+        wire::edge_ping_t ping;
+        holder.anticipate(slots, 1, time_point(ms(t)));
+        holder.prepare(ping, time_point(ms(t)));
+        holder.receive(granter.answer(ping, time_point(ms(t))), time_point(ms(t)));
+    }
+    resource_claim claim{slots, 1};
+    REQUIRE(holder.reserve(std::span(&claim, 1), time_point(ms(10000))));
+}
+
 // Guards against capacity that stays with an idle edge while another one refuses requests.
 TEST_CASE("the share of an idle edge reaches a busy edge within two leases") {
     rc::prop("demand moves from one edge to another", [] {
