--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -323,6 +323,11 @@
     CHECK(run({"get"}) == 2);
     CHECK(run({"submit", "/nonexistent"}) == 2);
     CHECK(run({"explain", "version_conflict"}) == 0);
+    for (wire::refusal_reason reason : wire::EnumValuesrefusal_reason()) {
+        const char* name = wire::EnumNamerefusal_reason(reason);
+        INFO(name);
+        CHECK((reason == wire::refusal_reason::none || run({"explain", name}) == 0));
+    }
     std::string settings = c.directory / "ctl.yaml";
     std::ofstream(settings) << "control: [\"" << c.http(2) << "\"]\noutput: json\n";
     CHECK(exit_status(spawn({bin("persimmonctl"), "--config", settings, "status"})) == 0);
