Refuse with shift_limit when only regions without a share have live targets

Cause: the quarantine test failed once when both targets of the asking region had crashed: the edge said no_target although other regions had live targets that the shift cap does not allow. Change: the reason counts every region of the service.

--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -102,8 +102,11 @@
 }
 
 void execution::refuse_without_target() {
+    // Regions without a share in the assignment count as well: a live target there shows that the shift cap refuses.
     bool elsewhere =
-        this->edge.targets.pick(this->edge.loop.now(), this->order.service->name, this->regions.retries).has_value();
+        this->edge.targets
+            .pick(this->edge.loop.now(), this->order.service->name, this->order.service->regions, this->tried)
+            .has_value();
     if (elsewhere) {
         this->refuse(wire::refusal_reason::shift_limit, wire::outcome::not_run,
                      "the assigned region has no live target, and the shift cap leaves no share elsewhere",
--- a/src/load/load_generator.cpp
+++ b/src/load/load_generator.cpp
@@ -96,6 +96,7 @@
 template <typename Random>
 std::vector<ip_address> order_hosts(const std::vector<weighted_host>& hosts, Random& random) {
     std::vector<double> weights;
+    weights.reserve(hosts.size());
     for (const weighted_host& host : hosts) {
         weights.push_back(host.weight);
     }
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -13,6 +13,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "common_generated.h"
 #include "persimmongrade/http_client.h"
 
 using namespace persimmongrade;
