--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -245,6 +245,9 @@
     void on_vote_request(time_point now, const wire::vote_request_t& request);
     void on_vote_reply(time_point now, const std::string& from, const wire::vote_reply_t& reply);
     void on_append_request(time_point now, const wire::append_request_t& request);
+    // Common to replies to the leader: steps down for a newer term and counts the reply for the leader lease. Null when
+    // the reply is not one to this leader's current term.
+    progress* accept_reply(time_point now, const std::string& from, std::uint64_t term, std::uint64_t sequence);
     void on_append_reply(time_point now, const std::string& from, const wire::append_reply_t& reply);
     void on_snapshot_chunk(time_point now, const wire::snapshot_chunk_t& chunk);
     void on_snapshot_reply(time_point now, const std::string& from, const wire::snapshot_reply_t& reply);
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -667,18 +667,27 @@
     this->send_early(member, std::move(chunk));
 }
 
-void consensus::on_append_reply(time_point now, const std::string& from, const wire::append_reply_t& reply) {
-    if (reply.term > this->hard.term) {
-        this->become_follower(now, reply.term, {});
-        return;
+consensus::progress* consensus::accept_reply(time_point now, const std::string& from, std::uint64_t term,
+                                             std::uint64_t sequence) {
+    if (term > this->hard.term) {
+        this->become_follower(now, term, {});
+        return nullptr;
     }
     auto found = this->members.find(from);
-    bool current = this->role == role_kind::leader && reply.term == this->hard.term && reply.sequence > 0;
+    bool current = this->role == role_kind::leader && term == this->hard.term && sequence > 0;
     if (!current || found == this->members.end()) {
+        return nullptr;
+    }
+    this->note_acked(now, found->second, sequence);
+    return &found->second;
+}
+
+void consensus::on_append_reply(time_point now, const std::string& from, const wire::append_reply_t& reply) {
+    progress* acked = this->accept_reply(now, from, reply.term, reply.sequence);
+    if (acked == nullptr) {
         return;
     }
-    auto& peer = found->second;
-    this->note_acked(now, peer, reply.sequence);
+    progress& peer = *acked;
     if (reply.success) {
         peer.probing = false;
         peer.match = std::max(peer.match, std::min(reply.match_index, this->last_index()));
@@ -695,17 +704,11 @@
 }
 
 void consensus::on_snapshot_reply(time_point now, const std::string& from, const wire::snapshot_reply_t& reply) {
-    if (reply.term > this->hard.term) {
-        this->become_follower(now, reply.term, {});
-        return;
-    }
-    auto found = this->members.find(from);
-    bool current = this->role == role_kind::leader && reply.term == this->hard.term && reply.sequence > 0;
-    if (!current || found == this->members.end()) {
+    progress* acked = this->accept_reply(now, from, reply.term, reply.sequence);
+    if (acked == nullptr) {
         return;
     }
-    auto& peer = found->second;
-    this->note_acked(now, peer, reply.sequence);
+    progress& peer = *acked;
     if (!peer.sending || reply.last_index != peer.sending->last_index) {
         return;
     }
