Keep client blocks by column in records and in the configuration

Cause: a record held each client block as a table with two strings: 50 bytes in every push and log entry and 420 bytes of memory on an edge, so that 1.9 million blocks would have needed 95 MB on the wire and 800 MB on each edge, of 256 MB. docs/CAPACITY.md counted only the lookup table. Change: one column each for addresses, lengths and sites, as the block changes already had them; prefixes are parsed in one place (base) instead of two. A record names at most 65,535 blocks (65,536 before), since each may name a site of its own.

--- a/include/persimmongrade/client_block_table.h
+++ b/include/persimmongrade/client_block_table.h
@@ -12,7 +12,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -20,45 +19,16 @@
 #include <unordered_map>
 #include <vector>
 
-#include "persimmongrade/error.h"
-#include "record_generated.h"
+#include "persimmongrade/client_blocks.h"
 
 namespace persimmongrade {
 
-using site_index = std::uint16_t;
-
-// A prefix or address that cannot be parsed, or more than 65,535 sites.
-class client_block_error : public error {
-public:
-    using error::error;
-};
-
 // A delta whose base is not the revision of the table.
 class client_block_revision_error : public error {
 public:
     using error::error;
 };
 
-// A numeric IPv4 or IPv6 address; an IPv4 address is in the first 4 bytes. IPv4-mapped IPv6 counts as IPv4.
-struct client_address {
-    std::array<std::uint8_t, 16> bytes{};
-    bool v6 = false;
-
-    friend auto operator<=>(const client_address&, const client_address&) = default;
-};
-
-client_address parse_client_address(std::string_view text);  // throws client_block_error
-
-// A block of addresses; bits after `length` are zero.
-struct client_prefix {
-    client_address address;
-    std::uint8_t length = 0;  // bits: 0 to 32 or 128
-
-    friend auto operator<=>(const client_prefix&, const client_prefix&) = default;
-};
-
-client_prefix parse_client_prefix(std::string_view text);  // throws client_block_error; clears bits after the length
-
 struct client_block_change {
     client_prefix prefix;
     std::optional<std::string> site;  // empty: the block is removed
@@ -82,8 +52,7 @@
 public:
     client_block_table() = default;
     // When a prefix occurs twice, the last one counts. Throws client_block_error.
-    explicit client_block_table(std::span<const std::unique_ptr<wire::client_block_t>> blocks,
-                                std::uint64_t revision = 0);
+    explicit client_block_table(const wire::client_block_columns_t& blocks, std::uint64_t revision = 0);
     // All client blocks of all records, in order of the records.
     explicit client_block_table(const wire::configuration_t& configuration);
 
@@ -135,7 +104,7 @@
     site_index intern(std::string_view site);
     void insert_unlinked(const client_prefix& prefix, site_index site);
     void finish_build();
-    void add(std::span<const std::unique_ptr<wire::client_block_t>> blocks);
+    void add(const wire::client_block_columns_t& blocks);
     int apply_v4(const client_prefix& prefix, site_index site);
     int apply_v6(const client_prefix& prefix, site_index site);
     site_index find_short_v6(std::uint32_t top) const noexcept;
--- a/include/persimmongrade/record.h
+++ b/include/persimmongrade/record.h
@@ -23,8 +23,8 @@
 inline constexpr std::size_t max_record_bytes = 1u << 20;  // YAML text
 inline constexpr std::size_t max_services = 1000;
 inline constexpr std::size_t max_regions = 64;
-inline constexpr std::size_t max_links = 4096;  // one direction each
-inline constexpr std::size_t max_client_blocks = 65536;
+inline constexpr std::size_t max_links = 4096;           // one direction each
+inline constexpr std::size_t max_client_blocks = 65535;  // each may name a site of its own
 inline constexpr std::size_t max_name_bytes = 64;
 inline constexpr std::size_t max_reported_problems = 100;
 
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "persimmongrade/client_blocks.h"
+
 namespace persimmongrade {
 
 namespace {
@@ -44,8 +46,12 @@
     return {{"from", link.from}, {"to", link.to}, {"max_mbit_per_second", link.max_mbit_per_second}};
 }
 
-json to_json(const wire::client_block_t& block) {
-    return {{"prefix", block.prefix}, {"region", block.region}};
+json to_json(const wire::client_block_columns_t& blocks) {
+    json list = json::array();
+    for_each_client_block(blocks, [&](const client_prefix& prefix, const std::string* site) {
+        list.push_back({{"prefix", to_string(prefix)}, {"region", site == nullptr ? "" : *site}});
+    });
+    return list;
 }
 
 json to_json(const wire::service_definition_t& service) {
@@ -129,7 +135,7 @@
             {"services", to_json_list(record.services)},
             {"regions", to_json_list(record.regions)},
             {"links", to_json_list(record.links)},
-            {"client_blocks", to_json_list(record.client_blocks)}};
+            {"client_blocks", record.client_blocks ? to_json(*record.client_blocks) : json::array()}};
 }
 
 json to_json(const wire::edge_info_t& edge) {
--- a/src/record/record.cpp
+++ b/src/record/record.cpp
@@ -5,6 +5,8 @@
 #include <map>
 #include <set>
 
+#include "persimmongrade/client_blocks.h"
+
 namespace persimmongrade {
 
 namespace {
@@ -126,15 +128,19 @@
     }
 
     void check_client_blocks() {
-        std::set<std::string> seen;
-        for (std::size_t i = 0; i < this->record.client_blocks.size(); ++i) {
-            const wire::client_block_t& block = *this->record.client_blocks[i];
-            this->check_known(item_path("client_blocks", i, "region"), block.region);
-            if (!seen.insert(block.prefix).second) {
+        if (!this->record.client_blocks) {
+            return;
+        }
+        std::set<client_prefix> seen;
+        std::size_t i = 0;
+        for_each_client_block(*this->record.client_blocks, [&](const client_prefix& prefix, const std::string* site) {
+            this->check_known(item_path("client_blocks", i, "region"), site == nullptr ? "" : *site);
+            if (!seen.insert(prefix).second) {
                 this->add(item_path("client_blocks", i, "prefix"), record_problem_kind::duplicate,
-                          "'" + block.prefix + "'");
+                          "'" + to_string(prefix) + "'");
             }
-        }
+            ++i;
+        });
     }
 
     const wire::steering_record_t& record;
--- a/src/record/record_parser.cpp
+++ b/src/record/record_parser.cpp
@@ -1,6 +1,5 @@
 #include "persimmongrade/record_parser.h"
 
-#include <arpa/inet.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
@@ -12,6 +11,9 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
+
+#include "persimmongrade/client_blocks.h"
 
 namespace persimmongrade {
 
@@ -57,6 +59,13 @@
             problem.path = found->second.path;
             problem.line = found->second.line;
         }
+        // All prefixes that could not be read were given the same placeholder.
+        bool unreadable = std::any_of(this->problems.begin(), this->problems.end(), [&](const record_problem& known) {
+            return known.kind == record_problem_kind::invalid_prefix && known.path == problem.path;
+        });
+        if (unreadable) {
+            return;
+        }
         if (this->problems.size() < max_reported_problems) {
             this->problems.push_back(std::move(problem));
         }
@@ -277,37 +286,34 @@
     });
 }
 
-bool is_prefix(const std::string& text) {
-    std::string address = text.substr(0, text.find('/'));
-    std::array<unsigned char, 16> bytes{};
-    bool v6 = address.find(':') != std::string::npos;
-    if (inet_pton(v6 ? AF_INET6 : AF_INET, address.c_str(), bytes.data()) != 1) {
-        return false;
-    }
-    unsigned bits = v6 ? 128 : 32;
-    auto length =
-        address.size() == text.size() ? std::nullopt : parse_number<unsigned>(text.substr(address.size() + 1));
-    if (!length || *length > bits) {
-        return false;
-    }
-    for (unsigned bit = *length; bit < bits; ++bit) {
-        if ((bytes.at(bit / 8) & (0x80u >> bit % 8)) != 0) {
-            return false;
-        }
+// The prefix that `text` states, with a length and without bits behind it.
+std::optional<client_prefix> read_prefix(const std::string& text) {
+    if (text.find('/') == std::string::npos) {
+        return std::nullopt;
+    }
+    try {
+        client_prefix prefix = parse_client_prefix(text);
+        bool exact = parse_client_address(text.substr(0, text.find('/'))) == prefix.address;
+        return exact ? std::optional(prefix) : std::nullopt;
+    } catch (const client_block_error&) {
+        return std::nullopt;
     }
-    return true;
 }
 
-void add_client_block(problem_list& faults, wire::steering_record_t& record, wire::client_block_t block,
-                      const source& prefix_at, const source& region_at, const YAML::Node& node) {
-    if (!is_prefix(block.prefix)) {
+void add_client_block(problem_list& faults, client_block_writer& blocks, const std::string& prefix,
+                      const std::string& region, const source& prefix_at, const source& region_at,
+                      const YAML::Node& node) {
+    // Stands for a prefix that cannot be read, so that the block's region is checked as well.
+    static const client_prefix unreadable = parse_client_prefix("ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff/128");
+    auto parsed = read_prefix(prefix);
+    if (!parsed) {
         faults.add(prefix_at.path, node, record_problem_kind::invalid_prefix,
-                   "'" + block.prefix + "' is not an IP prefix such as 203.0.113.0/24");
+                   "'" + prefix + "' is not an IP prefix such as 203.0.113.0/24");
     }
-    std::string internal_path = join_path("client_blocks", record.client_blocks.size());
+    std::string internal_path = join_path("client_blocks", blocks.size());
     faults.origins[internal_path + ".prefix"] = prefix_at;
     faults.origins[internal_path + ".region"] = region_at;
-    record.client_blocks.push_back(std::make_unique<wire::client_block_t>(std::move(block)));
+    blocks.add(parsed.value_or(unreadable), region);
 }
 
 // ---- Schema version 2 ----
@@ -375,13 +381,14 @@
 }
 
 void read_client_block_v2(problem_list& faults, const YAML::Node& node, const std::string& path,
-                          wire::steering_record_t& record) {
-    wire::client_block_t block;
+                          client_block_writer& blocks) {
+    std::string prefix;
+    std::string region;
     mapping reader(faults, node, path);
-    reader.read("prefix", true, block.prefix);
-    reader.read("region", true, block.region);
+    reader.read("prefix", true, prefix);
+    reader.read("region", true, region);
     reader.reject_unread();
-    add_client_block(faults, record, std::move(block), {path + ".prefix", line_of(node)},
+    add_client_block(faults, blocks, prefix, region, {path + ".prefix", line_of(node)},
                      {path + ".region", line_of(node)}, node);
 }
 
@@ -393,7 +400,11 @@
     each("services", true, max_services, read_service_v2);
     each("regions", true, max_regions, read_region_v2);
     each("links", false, max_links, read_link_v2);
-    each("client_blocks", false, max_client_blocks, read_client_block_v2);
+    client_block_writer blocks;
+    reader.each_item("client_blocks", false, max_client_blocks, [&](const YAML::Node& item, const std::string& path) {
+        read_client_block_v2(faults, item, path, blocks);
+    });
+    record.client_blocks = blocks.take();
 }
 
 // ---- Schema version 1 ----
@@ -476,13 +487,13 @@
         read_service_v1(faults, name, node, path, record);
     };
     reader.each_entry("services", true, max_services, read_service);
+    client_block_writer blocks;
     auto read_client = [&](const std::string& prefix, const YAML::Node& node, const std::string& path) {
-        wire::client_block_t block;
-        block.prefix = prefix;
-        block.region = node.IsScalar() ? node.Scalar() : std::string();
-        add_client_block(faults, record, std::move(block), {path, line_of(node)}, {path, line_of(node)}, node);
+        std::string region = node.IsScalar() ? node.Scalar() : std::string();
+        add_client_block(faults, blocks, prefix, region, {path, line_of(node)}, {path, line_of(node)}, node);
     };
     reader.each_entry("clients", false, max_client_blocks, read_client);
+    record.client_blocks = blocks.take();
 }
 
 // ---- Entry point ----
@@ -492,6 +503,17 @@
     std::stable_sort(items.begin(), items.end(), [&](const auto& a, const auto& b) { return key(*a) < key(*b); });
 }
 
+std::unique_ptr<wire::client_block_columns_t> sorted_client_blocks(const wire::client_block_columns_t& columns) {
+    std::map<client_prefix, std::string_view> sorted;
+    for_each_client_block(columns,
+                          [&](const client_prefix& prefix, const std::string* site) { sorted[prefix] = *site; });
+    client_block_writer writer;
+    for (const auto& [prefix, site] : sorted) {
+        writer.add(prefix, site);
+    }
+    return writer.take();
+}
+
 void sort_lists(wire::steering_record_t& record) {
     sort_by(record.services, [](const auto& item) { return item.name; });
     for (auto& service : record.services) {
@@ -499,7 +521,9 @@
     }
     sort_by(record.regions, [](const auto& item) { return item.region; });
     sort_by(record.links, [](const auto& item) { return std::pair(item.from, item.to); });
-    sort_by(record.client_blocks, [](const auto& item) { return item.prefix; });
+    if (record.client_blocks) {
+        record.client_blocks = sorted_client_blocks(*record.client_blocks);
+    }
 }
 
 YAML::Node load(const std::string& yaml) {
--- a/src/steering/client_block_table.cpp
+++ b/src/steering/client_block_table.cpp
@@ -1,10 +1,6 @@
 #include "persimmongrade/client_block_table.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <charconv>
-#include <cstring>
 
 namespace persimmongrade {
 
@@ -13,8 +9,6 @@
 constexpr std::size_t v4_buckets = 65536;
 constexpr std::uint8_t v4_bucket_bits = 16;
 constexpr std::uint8_t v6_bucket_bits = 32;
-constexpr std::uint16_t removed_site = 0xffff;
-constexpr std::array<std::uint8_t, 12> mapped_v4 = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
 
 std::uint32_t word(const client_address& address, std::size_t index) noexcept {
     const auto* bytes = address.bytes.data() + index * 4;
@@ -25,89 +19,23 @@
     return bits == 0 ? 0 : value & (0xffffffffU << (32 - bits));
 }
 
-bool is_mapped(const client_address& address) noexcept {
-    return address.v6 && std::equal(mapped_v4.begin(), mapped_v4.end(), address.bytes.begin());
-}
-
-client_address unmap(const client_address& address) noexcept {
-    client_address result;
-    std::copy_n(address.bytes.begin() + mapped_v4.size(), 4, result.bytes.begin());
-    return result;
-}
-
-client_address parse_raw(std::string_view text) {
-    std::array<char, INET6_ADDRSTRLEN + 1> buffer{};
-    client_address result;
-    if (text.size() < buffer.size()) {
-        std::copy(text.begin(), text.end(), buffer.begin());
-        result.v6 = text.find(':') != std::string_view::npos;
-        if (inet_pton(result.v6 ? AF_INET6 : AF_INET, buffer.data(), result.bytes.data()) == 1) {
-            return result;
-        }
-    }
-    throw client_block_error("\"" + std::string(text.substr(0, 64)) + "\" is not a numeric IP address");
-}
-
-void clear_after(client_address& address, std::uint8_t length) noexcept {
-    for (std::size_t i = 0; i < address.bytes.size(); ++i) {
-        int keep = std::clamp(static_cast<int>(length) - static_cast<int>(i) * 8, 0, 8);
-        address.bytes[i] = static_cast<std::uint8_t>(address.bytes[i] & (0xff00 >> keep));
-    }
-}
-
 }  // namespace
 
-// ---- Addresses and prefixes ----
-
-client_address parse_client_address(std::string_view text) {
-    client_address result = parse_raw(text);
-    return is_mapped(result) ? unmap(result) : result;
-}
-
-client_prefix parse_client_prefix(std::string_view text) {
-    auto slash = text.find('/');
-    client_prefix result{parse_raw(text.substr(0, slash)), 0};
-    unsigned longest = result.address.v6 ? 128 : 32;
-    unsigned length = longest;
-    if (slash != std::string_view::npos) {
-        const char* end = text.data() + text.size();
-        auto parsed = std::from_chars(text.data() + slash + 1, end, length);
-        if (parsed.ec != std::errc() || parsed.ptr != end || length > longest) {
-            throw client_block_error("\"" + std::string(text.substr(0, 64)) + "\" has no valid prefix length");
-        }
-    }
-    if (is_mapped(result.address) && length >= 96) {
-        result.address = unmap(result.address);
-        length -= 96;
-    }
-    result.length = static_cast<std::uint8_t>(length);
-    clear_after(result.address, result.length);
-    return result;
-}
-
 // ---- Deltas ----
 
 std::vector<std::uint8_t> encode(const client_block_delta& delta) {
-    wire::client_block_changes_t message;
-    message.base_revision = delta.base_revision;
-    message.revision = delta.revision;
-    std::map<std::string_view, std::uint16_t> names;
+    client_block_writer writer;
     for (const auto& change : delta.changes) {
-        std::uint16_t site = removed_site;
         if (change.site) {
-            auto [position, added] = names.try_emplace(*change.site, static_cast<std::uint16_t>(names.size()));
-            site = position->second;
-            if (added) {
-                message.site_names.push_back(*change.site);
-            }
+            writer.add(change.prefix, *change.site);
+        } else {
+            writer.remove(change.prefix);
         }
-        const client_address& address = change.prefix.address;
-        auto end = address.bytes.begin() + (address.v6 ? 16 : 4);
-        message.addresses.insert(message.addresses.end(), address.bytes.begin(), end);
-        message.versions.push_back(address.v6 ? 6 : 4);
-        message.lengths.push_back(change.prefix.length);
-        message.sites.push_back(site);
     }
+    wire::client_block_changes_t message;
+    message.base_revision = delta.base_revision;
+    message.revision = delta.revision;
+    message.blocks = writer.take();
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::client_block_changes::Pack(builder, &message));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
@@ -121,28 +49,12 @@
     wire::client_block_changes_t message;
     flatbuffers::GetRoot<wire::client_block_changes>(bytes.data())->UnPackTo(&message);
     client_block_delta result{message.base_revision, message.revision, {}};
-    std::size_t offset = 0;
-    if (message.lengths.size() != message.versions.size() || message.sites.size() != message.versions.size()) {
-        throw client_block_error("client block changes have columns of different lengths");
-    }
-    for (std::size_t i = 0; i < message.versions.size(); ++i) {
-        client_block_change change;
-        change.prefix.address.v6 = message.versions[i] == 6;
-        change.prefix.length = message.lengths[i];
-        std::size_t width = change.prefix.address.v6 ? 16 : 4;
-        bool known = message.sites[i] == removed_site || message.sites[i] < message.site_names.size();
-        if (offset + width > message.addresses.size() || change.prefix.length > width * 8 || !known) {
-            throw client_block_error("client block change " + std::to_string(i) + " is out of range");
-        }
-        std::copy_n(message.addresses.begin() + static_cast<std::ptrdiff_t>(offset), width,
-                    change.prefix.address.bytes.begin());
-        clear_after(change.prefix.address, change.prefix.length);
-        offset += width;
-        if (message.sites[i] != removed_site) {
-            change.site = message.site_names[message.sites[i]];
-        }
-        result.changes.push_back(std::move(change));
+    if (message.blocks == nullptr) {
+        return result;
     }
+    for_each_client_block(*message.blocks, [&](const client_prefix& prefix, const std::string* site) {
+        result.changes.push_back({prefix, site == nullptr ? std::nullopt : std::optional(*site)});
+    });
     return result;
 }
 
@@ -245,8 +157,7 @@
 
 // ---- Building ----
 
-client_block_table::client_block_table(std::span<const std::unique_ptr<wire::client_block_t>> blocks,
-                                       std::uint64_t revision)
+client_block_table::client_block_table(const wire::client_block_columns_t& blocks, std::uint64_t revision)
     : revision_number(revision) {
     this->add(blocks);
     this->finish_build();
@@ -255,15 +166,19 @@
 client_block_table::client_block_table(const wire::configuration_t& configuration)
     : revision_number(configuration.revision) {
     for (const auto& record : configuration.records) {
-        this->add(record->client_blocks);
+        if (record->client_blocks) {
+            this->add(*record->client_blocks);
+        }
     }
     this->finish_build();
 }
 
-void client_block_table::add(std::span<const std::unique_ptr<wire::client_block_t>> blocks) {
-    for (const auto& block : blocks) {
-        this->insert_unlinked(parse_client_prefix(block->prefix), this->intern(block->region));
-    }
+void client_block_table::add(const wire::client_block_columns_t& blocks) {
+    for_each_client_block(blocks, [this](const client_prefix& prefix, const std::string* site) {
+        if (site != nullptr) {
+            this->insert_unlinked(prefix, this->intern(*site));
+        }
+    });
 }
 
 site_index client_block_table::intern(std::string_view site) {
--- a/tests/record/test_record.cpp
+++ b/tests/record/test_record.cpp
@@ -99,6 +99,34 @@
     CHECK(problems.size() == 18);
 }
 
+// Guards against an unreadable prefix that hides the other faults of its block, or that is reported twice.
+TEST_CASE("every fault of client blocks is reported once") {
+    auto problems = problems_of("schema_version: 2\nname: r\nversion: 1\nservices: []\n"
+                                "regions: [{region: north, max_requests_per_second: 900}]\nclient_blocks:\n"
+                                "  - {prefix: 10.0.0.1/24, region: north}\n"
+                                "  - {prefix: 10.0.0.0, region: east}\n"
+                                "  - {prefix: 10.0.0.0/8, region: north}\n"
+                                "  - {prefix: 010.0.0.0/8, region: north}\n"
+                                "  - {prefix: 10.0.0.0/8, region: north}\n");
+    CHECK(line_of(problems, "client_blocks[0].prefix", kind::invalid_prefix) == 7);
+    CHECK(line_of(problems, "client_blocks[1].prefix", kind::invalid_prefix) == 8);
+    CHECK(line_of(problems, "client_blocks[1].region", kind::unknown_region) == 8);
+    CHECK(line_of(problems, "client_blocks[3].prefix", kind::invalid_prefix) == 10);
+    CHECK(line_of(problems, "client_blocks[4].prefix", kind::duplicate) == 11);
+    CHECK(problems.size() == 5);
+}
+
+// Guards against a version conflict between two spellings of the same content.
+TEST_CASE("client blocks are kept in one order and form") {
+    std::string head = "schema_version: 2\nname: r\nversion: 1\nservices: []\n"
+                       "regions: [{region: north, max_requests_per_second: 900}]\nclient_blocks:\n";
+    std::string first = "  - {prefix: 10.0.0.0/8, region: north}\n";
+    auto record = parse_record(head + first + "  - {prefix: 2001:DB8::/32, region: north}\n");
+    CHECK(record == parse_record(head + "  - {prefix: \"2001:db8:0::/32\", region: north}\n" + first));
+    CHECK(record.client_blocks->versions.size() == 2);
+    CHECK_FALSE(parse_record(head.substr(0, head.find("client_blocks"))).client_blocks);
+}
+
 TEST_CASE("faults of schema version 1 carry the paths of that schema") {
     auto problems = problems_of("schema_version: 1\nname: r\nversion: 1\n"
                                 "region_limits: {north: 900, south: 1}\n"
--- a/tests/steering/test_tables.cpp
+++ b/tests/steering/test_tables.cpp
@@ -92,16 +92,16 @@
 TEST_CASE("the client block table equals a linear search") {
     rc::prop("generated prefixes and deltas", [] {
         std::mt19937_64 random(*rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
-        std::vector<std::unique_ptr<wire::client_block_t>> blocks;
+        client_block_writer blocks;
         reference expected;
         for (std::uint64_t i = random() % 60; i > 0; --i) {
-            auto& block = blocks.emplace_back(std::make_unique<wire::client_block_t>());
             client_prefix prefix = any_prefix(random);
-            block->prefix = to_text(prefix.address) + "/" + std::to_string(prefix.length);
-            block->region = "site-" + std::to_string(random() % 9);
-            expected[prefix] = block->region;
+            RC_ASSERT(parse_client_prefix(to_string(prefix)) == prefix);
+            expected[prefix] = "site-" + std::to_string(random() % 9);
+            blocks.add(prefix, expected[prefix]);
         }
-        client_block_table table(blocks, 5);
+        auto columns = blocks.take();
+        client_block_table table(columns ? *columns : wire::client_block_columns_t{}, 5);
         check_equal(table, expected, random);
         for (std::uint64_t round = 0; round < 4; ++round) {
             client_block_delta delta{5 + round, 6 + round, {}};
@@ -130,18 +130,14 @@
 TEST_CASE("a block encloses more than 65,535 others") {
     client_block_table table;
     table.apply(client_block_change{parse_client_prefix("2001:db8::/40"), "wide"});
-    std::vector<std::unique_ptr<wire::client_block_t>> blocks;
-    blocks.push_back(std::make_unique<wire::client_block_t>());
-    blocks.back()->prefix = "2001:db8::/40";
-    blocks.back()->region = "wide";
+    client_block_writer blocks;
+    blocks.add(parse_client_prefix("2001:db8::/40"), "wide");
     for (unsigned i = 0; i < 70000; ++i) {
         char text[40];
         std::snprintf(text, sizeof(text), "2001:db8:%x:%x::/64", i >> 16, i & 0xffff);
-        blocks.push_back(std::make_unique<wire::client_block_t>());
-        blocks.back()->prefix = text;
-        blocks.back()->region = "narrow";
+        blocks.add(parse_client_prefix(text), "narrow");
     }
-    client_block_table large(blocks, 1);
+    client_block_table large(*blocks.take(), 1);
     REQUIRE(large.site_name(*large.find("2001:db8:1:116f::1")) == "narrow");
     REQUIRE(large.site_name(*large.find("2001:db8:1:1170::1")) == "wide");
     REQUIRE_FALSE(large.find("2001:db9::1"));
@@ -158,6 +154,32 @@
     REQUIRE_THROWS_AS(decode_client_block_delta(bytes), client_block_error);
 }
 
+// Guards against reads outside the columns of a damaged message.
+TEST_CASE("any client block columns are read or refused") {
+    rc::prop("generated columns", [] {
+        wire::client_block_columns_t columns;
+        columns.site_names = {"north", "south"};
+        columns.addresses = *rc::gen::arbitrary<std::vector<std::uint8_t>>();
+        auto count = *rc::gen::inRange<std::size_t>(0, 6);
+        columns.versions = *rc::gen::container<std::vector<std::uint8_t>>(count, rc::gen::element<std::uint8_t>(4, 6));
+        columns.lengths = *rc::gen::container<std::vector<std::uint8_t>>(count, rc::gen::inRange<std::uint8_t>(0, 140));
+        columns.sites =
+            *rc::gen::container<std::vector<std::uint16_t>>(count, rc::gen::element<std::uint16_t>(0, 1, 2, 65535));
+        std::size_t seen = 0;
+        try {
+            for_each_client_block(columns, [&](const client_prefix& prefix, const std::string* site) {
+                ++seen;
+                RC_ASSERT(prefix.length <= (prefix.address.v6 ? 128 : 32));
+                bool known = site == nullptr || *site == "north" || *site == "south";
+                RC_ASSERT(known);  // RC_ASSERT evaluates both sides of ||
+            });
+            RC_ASSERT(seen == count);
+        } catch (const client_block_error&) {
+            RC_ASSERT(seen < count);
+        }
+    });
+}
+
 // Guards against hosts that do not serve, a wrong order, and weights without room for the loss of a host.
 TEST_CASE("lookup answers list usable hosts, nearest first, with room for a loss") {
     rc::prop("generated hosts", [] {
--- a/tools/persimmon-capacity.cpp
+++ b/tools/persimmon-capacity.cpp
@@ -154,25 +154,13 @@
 
 // ---- Client blocks ----
 
-using block_list = std::vector<std::unique_ptr<wire::client_block_t>>;
+using block_list = wire::client_block_columns_t;
 
 constexpr std::size_t sites = 94;
 constexpr std::size_t lookups = 2'000'000;
 constexpr std::size_t changes = 1000;
 constexpr double v6_part = 0.1;
 
-std::string to_text(const client_address& address) {
-    std::string result;
-    char part[8];
-    for (std::size_t i = 0; i < (address.v6 ? 16U : 4U); i += address.v6 ? 2 : 1) {
-        const char* separator = i == 0 ? "" : address.v6 ? ":" : ".";
-        unsigned value = address.v6 ? address.bytes[i] * 256U + address.bytes[i + 1] : address.bytes[i];
-        std::snprintf(part, sizeof(part), address.v6 ? "%s%x" : "%s%u", separator, value);
-        result += part;
-    }
-    return result;
-}
-
 // Distinct prefixes with lengths as in public routing tables: most IPv4 ones /24 and /22 to /20, IPv6 /48 and /32.
 std::vector<client_prefix> generate_prefixes(std::size_t count, std::mt19937_64& random) {
     static constexpr std::uint8_t v4_lengths[] = {24, 24, 24, 24, 24, 24, 23, 22, 22, 21, 20, 19, 18, 17, 16, 14};
@@ -187,7 +175,7 @@
                 prefix.address.bytes[static_cast<std::size_t>(byte)] = static_cast<std::uint8_t>(random());
             }
             prefix.address.bytes[0] = prefix.address.v6 ? 0x20 : static_cast<std::uint8_t>(1 + random() % 222);
-            result.push_back(parse_client_prefix(to_text(prefix.address) + "/" + std::to_string(prefix.length)));
+            result.push_back(parse_client_prefix(to_string(prefix)));
         }
         std::sort(result.begin(), result.end());
         result.erase(std::unique(result.begin(), result.end()), result.end());
@@ -202,13 +190,11 @@
 }
 
 block_list to_blocks(const std::vector<client_prefix>& prefixes) {
-    block_list result;
+    client_block_writer writer;
     for (std::size_t i = 0; i < prefixes.size(); ++i) {
-        auto& block = result.emplace_back(std::make_unique<wire::client_block_t>());
-        block->prefix = to_text(prefixes[i].address) + "/" + std::to_string(prefixes[i].length);
-        block->region = site_name(i % sites);
+        writer.add(prefixes[i], site_name(i % sites));
     }
-    return result;
+    return std::move(*writer.take());
 }
 
 site_index site_number(const std::string& name) {
@@ -236,9 +222,9 @@
 class length_maps {
 public:
     explicit length_maps(const block_list& blocks) {
-        for (const auto& block : blocks) {
-            this->apply({parse_client_prefix(block->prefix), block->region});
-        }
+        for_each_client_block(blocks, [this](const client_prefix& prefix, const std::string* site) {
+            this->apply({prefix, *site});
+        });
     }
 
     std::optional<site_index> find(const client_address& address) const {
@@ -280,10 +266,9 @@
 class sorted_ranges {
 public:
     explicit sorted_ranges(const block_list& blocks) {
-        for (const auto& block : blocks) {
-            client_prefix prefix = parse_client_prefix(block->prefix);
-            this->prefixes[prefix.address.v6 ? 1 : 0].emplace_back(prefix, site_number(block->region));
-        }
+        for_each_client_block(blocks, [this](const client_prefix& prefix, const std::string* site) {
+            this->prefixes[prefix.address.v6 ? 1 : 0].emplace_back(prefix, site_number(*site));
+        });
         for (bool v6 : {false, true}) {
             std::sort(this->prefixes[v6].begin(), this->prefixes[v6].end());
             this->sweep(v6);
@@ -441,7 +426,7 @@
             blocks->apply(work.changes[i]);
         }
     });
-    report.rows.push_back({name, work.blocks.size(), static_cast<double>(memory) / 1e6, build * 1e3,
+    report.rows.push_back({name, work.blocks.versions.size(), static_cast<double>(memory) / 1e6, build * 1e3,
                            static_cast<double>(lookups) / search / 1e6,
                            apply / static_cast<double>(change_count) * 1e6});
     return sum;
@@ -640,7 +625,7 @@
         std::mt19937_64 random(size);
         wire::configuration_delta_t delta;
         auto& record = delta.changed_records.emplace_back(std::make_unique<wire::steering_record_t>());
-        record->client_blocks = to_blocks(generate_prefixes(size, random));
+        record->client_blocks = std::make_unique<block_list>(to_blocks(generate_prefixes(size, random)));
         std::size_t bytes = 0;
         double encode = seconds([&] { bytes = pack<wire::configuration_delta>(delta).size(); });
         records.rows.push_back({size, bytes, encode * 1e3});
