--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -228,6 +228,7 @@
     void accept_leader(time_point now, std::uint64_t term, const std::string& leader);
     void start_pre_vote(time_point now);
     void start_election(time_point now, bool transfer);
+    void request_votes(time_point now, wire::vote_request_t request);
     void count_votes(time_point now);
     void become_leader(time_point now);
     void wait_for_leader(time_point now);
--- a/src/consensus/consensus_election.cpp
+++ b/src/consensus/consensus_election.cpp
@@ -57,34 +57,29 @@
     }
     this->become_follower(now, this->hard.term, {});
     this->role = role_kind::pre_candidate;
-    this->election_due = now + this->retry_wait();
-    this->votes.insert(this->own_id);
     wire::vote_request_t request;
     request.term = this->hard.term + 1;
-    request.candidate = this->own_id;
-    request.last_log_index = this->last_index();
-    request.last_log_term = this->last_term();
     request.pre_vote = true;
-    for (const auto& member : this->voters().voters) {
-        if (member->voting && member->id != this->own_id) {
-            this->send(member->id, request);
-        }
-    }
-    this->count_votes(now);
+    this->request_votes(now, std::move(request));
 }
 
 void consensus::start_election(time_point now, bool transfer) {
     this->become_follower(now, this->hard.term + 1, {});
     this->role = role_kind::candidate;
     this->hard.voted_for = this->own_id;
-    this->election_due = now + this->retry_wait();
-    this->votes.insert(this->own_id);
     wire::vote_request_t request;
     request.term = this->hard.term;
+    request.transfer = transfer;
+    this->request_votes(now, std::move(request));
+}
+
+// Counts the own vote and asks the other voters.
+void consensus::request_votes(time_point now, wire::vote_request_t request) {
+    this->votes.insert(this->own_id);
+    this->election_due = now + this->retry_wait();
     request.candidate = this->own_id;
     request.last_log_index = this->last_index();
     request.last_log_term = this->last_term();
-    request.transfer = transfer;
     for (const auto& member : this->voters().voters) {
         if (member->voting && member->id != this->own_id) {
             this->send(member->id, request);
