Split control_server.cpp into seven files by task

Change: the state moves to server_state.h; its functions are defined in membership.cpp, submissions.cpp, edge_sessions.cpp, shift_driver.cpp (the part marked "Shifts"), operator_routes.cpp and operator_reads.cpp. control_server.cpp keeps start, timers and planned stop. Function bodies are unchanged.

--- /dev/null
+++ b/src/control/shift_driver.cpp
@@ -0,0 +1,77 @@
+#include "server_state.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr duration forget_edge_after = ms(30000);  // a silent edge's measurements freeze shifts until then
+
+}  // namespace
+
+// Edges stamp measurements with Unix time. A time in the future counts as now.
+time_point control_server::impl::local_time(time_point now, std::int64_t taken_at_ms) {
+    std::int64_t age_ms = std::max<std::int64_t>(0, unix_time_ms() - taken_at_ms);
+    return now - ms(age_ms);
+}
+
+void control_server::impl::observe(time_point now, const wire::edge_ping_t& ping) {
+    auto [found, added] = this->measured.try_emplace(ping.edge);
+    if (ping.incarnation < found->second.incarnation) {
+        return;
+    }
+    if (!added && ping.incarnation != found->second.incarnation) {
+        this->shifts.forget(ping.edge);
+    }
+    found->second = {ping.incarnation, now};
+    for (const auto& demand : ping.service_demands) {
+        this->shifts.observe(ping.edge, *demand, local_time(now, demand->taken_at_ms));
+    }
+    for (const auto& capacity : ping.capacities) {
+        this->shifts.observe(ping.edge, *capacity, local_time(now, capacity->taken_at_ms));
+    }
+}
+
+void control_server::impl::decide_shifts() {
+    time_point now = this->loop.now();
+    if (this->shifts_revision != this->store.revision()) {
+        this->shifts_revision = this->store.revision();
+        this->shifts.apply(this->store.configuration(), now);
+    }
+    if (!this->refresh_authority() || this->is_stopping) {
+        return;
+    }
+    this->follow_publication(now);
+    std::erase_if(this->measured, [&](const auto& item) {
+        bool silent = now >= item.second.last_ping + forget_edge_after;
+        if (silent) {
+            this->shifts.forget(item.first);
+        }
+        return silent;
+    });
+    wire::set_assignments_t command;
+    for (wire::assignment_t& assignment : this->shifts.decide(now)) {
+        command.assignments.push_back(std::make_unique<wire::assignment_t>(std::move(assignment)));
+    }
+    if (!command.assignments.empty()) {
+        wire::command_bodyUnion body;
+        body.Set(std::move(command));
+        this->submit(std::move(body), nullptr);
+    }
+}
+
+nlohmann::json control_server::impl::shift_states() const {
+    static constexpr std::array names = {"settled", "moving", "cap_used", "measurements_stale", "no_room"};
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [service, status] : this->shifts.status()) {
+        list.push_back({{"service", service},
+                        {"state", names.at(static_cast<std::size_t>(status.state))},
+                        {"moved_permille", status.moved_permille}});
+    }
+    return list;
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/control/submissions.cpp
@@ -0,0 +1,145 @@
+#include "server_state.h"
+
+#include <utility>
+
+#include "persimmongrade/log.h"
+
+namespace persimmongrade {
+
+namespace {
+
+// A follower does not know when the leader publishes a revision: at the latest this long after it was committed.
+constexpr duration publication_delay = distribution_options{}.publish_interval + 2 * distribution_tick;
+constexpr duration submission_timeout = ms(5000);  // then the answer is outcome_unknown
+constexpr std::size_t max_pending_submissions = 10000;
+constexpr std::size_t max_command_bytes = 8u << 20;  // must fit one peer frame with room to spare
+
+}  // namespace
+
+void control_server::impl::submit(wire::command_bodyUnion body, exchange_pointer exchange) {
+    if (this->queue.size() + this->proposed.size() >= max_pending_submissions) {
+        this->refuse(exchange, operator_error::unavailable, "too many submissions are pending");
+        return;
+    }
+    wire::command_t command;
+    command.body = std::move(body);
+    byte_string payload = encode_command(command);
+    if (payload.size() > max_command_bytes) {
+        this->refuse(exchange, operator_error::bad_request, "the record is too large for one log entry");
+        return;
+    }
+    this->queue.push_back({std::move(payload), std::move(exchange), this->loop.now()});
+    if (!std::exchange(this->flush_scheduled, true)) {
+        // Requests that arrive in the same turn of the loop share one append and one sync.
+        this->loop.after(duration::zero(), [this] { this->flush(); });
+    }
+}
+
+void control_server::impl::flush() {
+    this->flush_scheduled = false;
+    auto batch = std::exchange(this->queue, {});
+    if (!this->refresh_authority()) {
+        for (submission& request : batch) {
+            this->refuse_not_leader(request.exchange);
+        }
+        return;
+    }
+    std::vector<byte_string> payloads;
+    payloads.reserve(batch.size());
+    for (submission& request : batch) {
+        payloads.push_back(std::move(request.payload));
+    }
+    this->submissions.Increment(static_cast<double>(batch.size()));
+    try {
+        this->log.propose(this->loop.now(), std::move(payloads), [&](std::uint64_t index, std::uint64_t term) {
+            for (submission& request : batch) {
+                this->proposed[index++] = {term, std::move(request)};
+            }
+        });
+    } catch (const not_leader_error&) {  // handing over the leadership
+        for (submission& request : batch) {
+            this->refuse_not_leader(request.exchange);
+        }
+    }
+}
+
+// A submission that was proposed may be committed by the next leader, so its outcome is unknown.
+void control_server::impl::answer_unknown(const submission& request, const std::string& reason) {
+    this->refuse(request.exchange, operator_error::outcome_unknown,
+                 reason + "; resend with the same Submission-Id to learn the outcome");
+}
+
+void control_server::impl::expire_submissions(time_point now) {
+    std::erase_if(this->proposed, [&](auto& item) {
+        bool expired = now >= item.second.request.received_at + submission_timeout;
+        if (expired) {
+            this->answer_unknown(item.second.request, "no majority confirmed the submission in time");
+        }
+        return expired;
+    });
+}
+
+void control_server::impl::apply_entry(const wire::log_entry_t& entry) {
+    auto node = this->proposed.extract(entry.index);
+    if (entry.kind != wire::entry_kind::command) {
+        return;
+    }
+    wire::command_t command = decode_command(entry.payload);
+    std::uint64_t before = this->store.revision();
+    wire::submission_result_t result = this->store.apply(command);
+    if (this->store.revision() != before && !this->distributor.serving() && changes_limits(command)) {
+        this->tell_granter(this->loop.now() + publication_delay);
+    }
+    if (node.empty() || !node.mapped().request.exchange) {
+        return;
+    }
+    if (node.mapped().term != entry.term) {
+        this->refuse(node.mapped().request.exchange, operator_error::unavailable,
+                     "another leader replaced the submission before it was committed");
+        return;
+    }
+    duration taken = this->loop.now() - node.mapped().request.received_at;
+    this->acceptance_seconds.Observe(static_cast<double>(taken.count()) / 1000.0);
+    node.mapped().request.exchange->respond(result_response(result));
+}
+
+bool control_server::impl::changes_limits(const wire::command_t& command) {
+    return command.body.Assubmit_record() != nullptr || command.body.Aswithdraw_record() != nullptr;
+}
+
+// `superseded_at`: when the leader has at the latest stopped granting on older revisions.
+void control_server::impl::tell_granter(time_point superseded_at, bool skipped) {
+    this->granter.apply(this->store.configuration(), superseded_at, skipped);
+}
+
+void control_server::impl::batch_applied() {
+    this->revision_gauge.Set(static_cast<double>(this->store.revision()));
+    this->distribute();
+    this->answer_watches();
+}
+
+void control_server::impl::install_state(const byte_string& bytes) {
+    this->store = record_store::restore(bytes);
+    this->tell_granter(this->loop.now() + publication_delay, true);
+}
+
+void control_server::impl::leadership_changed(leadership_change change) {
+    log_info("leadership changed", field("leading", change == leadership_change::gained),
+             field("term", this->log.term()));
+    this->refresh_authority();
+    if (change == leadership_change::gained) {
+        return;
+    }
+    this->granter.step_down();
+    this->shifts.step_down();
+    this->tell_granter(this->loop.now() + publication_delay);
+    auto lost = std::exchange(this->proposed, {});
+    for (auto& [index, entry] : lost) {
+        this->answer_unknown(entry.request, "the leader changed");
+    }
+    for (watch& waiting : std::exchange(this->watches, {})) {
+        this->refuse_not_leader(waiting.exchange);
+    }
+}
+
+}  // namespace persimmongrade
