Refuse requests with not_ready until the first assignment

Cause: without an assignment for the caller's region, an edge tried the regions of the service from the nearest. When the nearest region lost its targets before the first assignment, all traffic moved to the next region at once, outside the shift cap. The leader also made no assignment for regions that only client blocks or the edges' own settings name, so that their callers kept this fallback until their demand was reported.

Change: an edge refuses such a request with not_ready, outcome not_run and a retry hint of 500 ms; the order by latency is removed. The shift controller makes first assignments for the regions of client blocks, for those of the edges in the settings and for those that edges report.

Tests: the edge fixture assigns all traffic to north unless told not to, because its fake control process made no assignments.

The bound of 500 ms is not measured yet.

--- a/include/persimmongrade/shift_controller.h
+++ b/include/persimmongrade/shift_controller.h
@@ -63,6 +63,8 @@
     // Measurements of one edge. A lower or equal sequence than the last of the same edge and subject is ignored.
     void observe(const std::string& edge, const wire::service_demand_t& demand, time_point taken_at);
     void observe(const std::string& edge, const wire::region_capacity_t& capacity, time_point taken_at);
+    // A region that edges may give to callers because it is their own; client blocks and limits name others.
+    void add_caller_region(const std::string& region);
     // An edge that left or restarted: its measurements no longer count, and its sequences begin again.
     void forget(const std::string& edge);
 
@@ -93,6 +95,10 @@
         std::uint32_t max_permille = 100;
         duration interval = ms(10000);
     };
+    struct block_regions {  // caller regions that the client blocks of one record name
+        std::uint64_t version = 0;
+        std::set<std::string> regions;
+    };
     struct region_capacity {  // of one service
         double requests_per_second = 0;
         bool cold = false;  // most live targets are cold
@@ -127,6 +133,7 @@
     bool read_capacity(step& plan, time_point now) const;
     double last_demand(const subject_key& key) const;
     amount_map total_load(time_point now) const;
+    void read_caller_regions(const wire::configuration_t& configuration);
     std::set<std::string> caller_regions(const service_entry& entry) const;
     std::vector<std::string> by_latency(const std::string& caller, const step& plan, const amount_map& loads) const;
     std::uint32_t latency(const std::string& from, const std::string& to) const;
@@ -149,6 +156,8 @@
     shift_options options;
     std::vector<region_latency> latencies;
     std::map<std::string, service_entry> services;
+    std::set<std::string> edge_regions;                 // given by add_caller_region
+    std::map<std::string, block_regions> named_blocks;  // by record
     limit_table limits;
     std::map<subject_key, permille_map> assignments;  // applied, by service and caller region
     std::map<subject_key, permille_map> decided;      // by this process and already counted as moved
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -563,6 +563,7 @@
             this->shifts.forget(ping.edge);
         }
         found->second = {ping.incarnation, now};
+        this->shifts.add_caller_region(ping.region);
         for (const auto& demand : ping.service_demands) {
             this->shifts.observe(ping.edge, *demand, local_time(now, demand->taken_at_ms));
         }
@@ -575,6 +576,9 @@
         time_point now = this->loop.now();
         if (this->shifts_revision != this->store.revision()) {
             this->shifts_revision = this->store.revision();
+            for (const auto& edge : this->settings.edges) {
+                this->shifts.add_caller_region(edge->region);
+            }
             this->shifts.apply(this->store.configuration(), now);
         }
         if (!this->refresh_authority() || this->is_stopping) {
--- a/src/edge/edge_context.cpp
+++ b/src/edge/edge_context.cpp
@@ -25,11 +25,7 @@
       index(std::make_shared<const configuration_index>(std::make_shared<const wire::configuration_t>())),
       leases(settings.id, ids_of(settings.edges)), capacity(settings.region, this->leases),
       targets({selection_method::two_random_choices, random_seed}), lookups(settings), meter(metrics, loop.now()),
-      random(random_seed) {
-    for (const auto& latency : settings.simulated_latency) {
-        this->latency_ms[latency->to_region] = latency->one_way_ms;
-    }
-}
+      random(random_seed) {}
 
 bool edge_context::join_queue(const std::string& service, std::weak_ptr<execution> waiting) {
     auto& queue = this->queues[service];
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -46,7 +46,6 @@
     quarantine crashes;
     lookup_service lookups;
     service_meter meter;
-    std::map<std::string, std::uint32_t> latency_ms;  // one way, by region
     std::mt19937_64 random;
     wire::edge_state state = wire::edge_state::starting;
     bool refuse_new_work = false;  // late in a planned stop
--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -16,6 +16,8 @@
 constexpr duration probe_timeout = ms(50);
 constexpr int first_server_error = 500;
 constexpr std::uint32_t weight_scale = 1000;
+// The leader makes a first assignment within this time after it has accepted the record.
+constexpr duration first_assignment_delay = ms(500);
 
 bool states_not_run(const http_response& response) {
     return response.status == refusal_status(wire::refusal_reason::target_shed) &&
@@ -26,9 +28,8 @@
 
 execution::execution(edge_context& edge, execution_order order, callback on_done)
     : edge(edge), order(std::move(order)), on_done(std::move(on_done)),
-      regions(choose_regions(
-          *this->order.service, this->order.index->assignment(this->order.service->name, this->order.caller_region),
-          edge.settings.region, edge.latency_ms, static_cast<std::uint32_t>(edge.random() % weight_scale))) {
+      regions(choose_regions(this->order.index->assignment(this->order.service->name, this->order.caller_region),
+                             static_cast<std::uint32_t>(edge.random() % weight_scale))) {
     ++this->edge.running_requests;
 }
 
@@ -62,6 +63,15 @@
                      "the edge cannot prove that its configuration is current");
         return;
     }
+    // The nearest region is no substitute: if it lost its targets before the first assignment, its traffic would move
+    // to another region outside the shift cap.
+    if (this->regions.first.empty()) {
+        this->refuse(wire::refusal_reason::not_ready, wire::outcome::not_run,
+                     "service '" + this->order.service->name + "' has no assignment for callers of region '" +
+                         this->order.caller_region + "' yet",
+                     first_assignment_delay);
+        return;
+    }
     auto chosen = this->choose_target(true);
     chosen = chosen ? chosen : this->choose_target(false);
     if (!chosen) {
@@ -93,12 +103,7 @@
     if (!this->tried.empty()) {
         return this->edge.targets.pick_if(now, service, this->regions.retries, this->tried, usable);
     }
-    for (const std::string& region : this->regions.first) {
-        if (auto chosen = this->edge.targets.pick_if(now, service, {region}, this->tried, usable)) {
-            return chosen;
-        }
-    }
-    return std::nullopt;
+    return this->edge.targets.pick_if(now, service, {this->regions.first}, this->tried, usable);
 }
 
 void execution::refuse_without_target() {
--- a/src/steering/shift_controller.cpp
+++ b/src/steering/shift_controller.cpp
@@ -59,6 +59,7 @@
 void shift_controller::apply(const wire::configuration_t& configuration, time_point now) {
     this->limits = limit_table(configuration);
     this->read_services(configuration);
+    this->read_caller_regions(configuration);
     this->read_assignments(configuration, now);
     if (!this->known_since) {
         this->known_since = now;
@@ -84,6 +85,27 @@
     }
 }
 
+// A record may hold more than a million blocks, so that it is read again only with a new version.
+void shift_controller::read_caller_regions(const wire::configuration_t& configuration) {
+    auto before = std::exchange(this->named_blocks, {});
+    for (const auto& record : configuration.records) {
+        block_regions& named = this->named_blocks[record->name];
+        auto known = before.find(record->name);
+        if (known != before.end() && known->second.version == record->version) {
+            named = std::move(known->second);
+            continue;
+        }
+        named.version = record->version;
+        for (const auto& block : record->client_blocks) {
+            named.regions.insert(block->region);
+        }
+    }
+}
+
+void shift_controller::add_caller_region(const std::string& region) {
+    this->edge_regions.insert(region);
+}
+
 // Changes that this process did not decide itself are counted with the largest share that any caller region moved,
 // because the demand at the time is not known here.
 void shift_controller::read_assignments(const wire::configuration_t& configuration, time_point now) {
@@ -269,8 +291,14 @@
 
 // ---- First assignments ----
 
+// Every region that an edge may derive for a caller: its own one and those of client blocks. The regions that limits,
+// latencies and demands name are added, so that an assignment is there before the first caller.
 std::set<std::string> shift_controller::caller_regions(const service_entry& entry) const {
     std::set<std::string> result(entry.regions.begin(), entry.regions.end());
+    result.insert(this->edge_regions.begin(), this->edge_regions.end());
+    for (const auto& [record, named] : this->named_blocks) {
+        result.insert(named.regions.begin(), named.regions.end());
+    }
     for (const auto& pair : this->latencies) {
         result.insert({pair.from, pair.to});
     }
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -119,6 +119,18 @@
         this->commit();
     }
 
+    // Assigns all of the service's traffic from one caller region to one target region.
+    void assign(const std::string& service, const std::string& caller_region, const std::string& region) {
+        auto entry = std::make_unique<wire::assignment_t>();
+        entry->service = service;
+        entry->caller_region = caller_region;
+        auto& share = entry->shares.emplace_back(std::make_unique<wire::region_share_t>());
+        share->region = region;
+        share->permille = 1000;
+        this->configuration.assignments.push_back(std::move(entry));
+        this->commit();
+    }
+
     void drain(const std::string& target) {
         auto drain = std::make_unique<wire::target_drain_t>();
         drain->target = target;
@@ -135,10 +147,15 @@
     std::vector<std::unique_ptr<metric_registry>> metrics;
     std::vector<std::unique_ptr<edge_server>> edges;
 
-    // Starts `regions.size()` edges, one per region, and waits until all are ready.
-    explicit edge_fixture(const std::vector<std::string>& regions = {"north"}) {
+    // Starts `regions.size()` edges, one per region, and waits until all are ready. All traffic is assigned to north,
+    // unless `assigned` is false.
+    explicit edge_fixture(const std::vector<std::string>& regions = {"north"}, bool assigned = true) {
         this->control.add_service("lookups", true);
         this->control.add_service("orders", false);
+        for (std::size_t i = 0; assigned && i < regions.size(); ++i) {
+            this->control.assign("lookups", regions[i], "north");
+            this->control.assign("orders", regions[i], "north");
+        }
         std::vector<std::unique_ptr<wire::peer_settings_t>> list;
         for (std::size_t i = 0; i < regions.size(); ++i) {
             list.push_back(peer("edge-" + std::to_string(i + 1), test_address(next_port()), regions[i]));
--- a/tests/steering/test_shift.cpp
+++ b/tests/steering/test_shift.cpp
@@ -282,6 +282,28 @@
     });
 }
 
+// Guards against caller regions that edges derive and that never get an assignment: their callers would be refused.
+TEST_CASE("every caller region that an edge may derive gets a first assignment at once") {
+    shift_world world;
+    auto configuration = world.configuration();
+    for (const char* region : {"east", "west"}) {
+        auto& block = configuration.records[0]->client_blocks.emplace_back(std::make_unique<wire::client_block_t>());
+        block->prefix = "203.0.113.0/24";
+        block->region = region;
+    }
+    auto callers = [&] {
+        std::set<std::string> result;
+        for (const auto& assignment : world.processes[0].decide(world.now)) {
+            result.insert(assignment.caller_region);
+        }
+        return result;
+    };
+    world.processes[0].add_caller_region("coast");
+    ++configuration.records[0]->version;
+    world.processes[0].apply(configuration, world.now);
+    CHECK(callers() == std::set<std::string>{"central", "coast", "east", "north", "south", "west"});
+}
+
 // Guards against a shift that never ends, and against traffic that does not return to its own region.
 TEST_CASE("traffic leaves a failed region within the cap and returns when it recovers") {
     shift_world world;
