Plan link bytes in the shift controller

Cause: a step was bounded by the cap and by the limits of target regions only. Traffic moved to the nearest region over a link that could not carry it, and the leases of the edges refused it there, together with the traffic that already used the link.

Change: edges measure the mean bytes per answered request of each service, request and response, and report them with the demand (new fields at the end of service_demand). The controller keeps the planned load of each limited link in both directions, from the edges that requests enter through, traffic of cached lookup responses included, and reduces a step to what the links take up to 80% of their limits. Sizes older than 30 s or missing freeze moves over a limited link (state measurements_stale). Other services without any size count with their record's maximum.

Tests: shift_world has links, sizes, requests that enter through another region's edge and a list of services. The existing property and cases keep their checks and options.

Conclusion: measured in the model and by properties. With real processes only the reported sizes are tested (test_edge), not a full link.

--- a/include/persimmongrade/shift_controller.h
+++ b/include/persimmongrade/shift_controller.h
@@ -6,7 +6,8 @@
 //     auto changed = controller.decide(now);                   // submit as set_assignments; empty: nothing to change
 //
 // A step moves at most `shift.max_permille` of the service's traffic per `shift.interval_ms`. Traffic that cached
-// answers still send to the old place counts as moving until their lifetime has passed.
+// answers still send to the old place counts as moving until their lifetime has passed. A step also fits within the
+// limits of the regions and links that it moves traffic to.
 
 #pragma once
 
@@ -29,8 +30,11 @@
 struct shift_options {
     duration measurement_age_limit = ms(3000);   // older measurements freeze the service
     duration cached_answer_lifetime = ms(5000);  // ttl of lookup answers
-    double overload = 0.9;                       // part of a limit or capacity above which traffic moves away
-    double fill = 0.8;  // part up to which traffic moves in; the difference prevents oscillation
+    // Older sizes freeze a shift over a limited link. Sizes come from answered requests only, so that this is longer
+    // than a failed region takes to be noticed (4 s) and to be given its first step (15 s with the default cap).
+    duration size_age_limit = ms(30000);
+    double overload = 0.9;  // part of a limit or capacity above which traffic moves away
+    double fill = 0.8;      // part up to which traffic moves in; the difference prevents oscillation
 
     friend bool operator==(const shift_options&, const shift_options&) = default;
 };
@@ -61,10 +65,14 @@
     void step_down();
     void apply(const wire::configuration_t& configuration, time_point now);  // records, limits, current assignments
     // Measurements of one edge. A lower or equal sequence than the last of the same edge and subject is ignored.
-    void observe(const std::string& edge, const wire::service_demand_t& demand, time_point taken_at);
+    // `sizes_taken_at` is the time of the demand's byte sizes, if it has any.
+    void observe(const std::string& edge, const wire::service_demand_t& demand, time_point taken_at,
+                 std::optional<time_point> sizes_taken_at = std::nullopt);
     void observe(const std::string& edge, const wire::region_capacity_t& capacity, time_point taken_at);
     // A region that edges may give to callers because it is their own; client blocks and limits name others.
     void add_caller_region(const std::string& region);
+    // The region of an edge: its requests cross the links between that region and their target regions.
+    void place_edge(const std::string& edge, const std::string& region);
     // An edge that left or restarted: its measurements no longer count, and its sequences begin again.
     void forget(const std::string& edge);
 
@@ -77,12 +85,28 @@
 private:
     using permille_map = std::map<std::string, std::uint32_t>;  // by target region
     using amount_map = std::map<std::string, double>;           // requests per second by region
+    using link_map = std::map<resource, double>;                // bytes per second by link
     using subject_key = std::pair<std::string, std::string>;    // service and caller region, or service and region
     struct demand_sample {
         double requests_per_second = 0;
         time_point taken_at{};
         std::uint64_t sequence = 0;
     };
+    struct size_sample {
+        double request_bytes = 0;
+        double answer_bytes = 0;
+        time_point taken_at{};
+    };
+    struct service_size {
+        double request_bytes = 0;
+        double answer_bytes = 0;
+        bool fresh = false;
+    };
+    // Traffic of all services that is assigned or may still arrive from cached answers.
+    struct planned_loads {
+        amount_map regions;
+        link_map links;
+    };
     struct capacity_sample {
         std::uint32_t live = 0;
         std::uint32_t cold = 0;
@@ -94,6 +118,8 @@
         std::vector<std::string> regions;  // where targets may serve it
         std::uint32_t max_permille = 100;
         duration interval = ms(10000);
+        std::uint32_t max_request_bytes = 0;
+        std::uint32_t max_answer_bytes = 0;
     };
     struct block_regions {  // caller regions that the client blocks of one record name
         std::uint64_t version = 0;
@@ -108,6 +134,7 @@
         double share = 0;       // of the service's traffic, 0 to 1
         double cold_share = 0;  // part of it into cold regions
         amount_map left;        // traffic that cached answers may still send to the region it left
+        link_map left_links;    // likewise, bytes over links
     };
     // Working state of one service while a step is decided.
     struct step {
@@ -115,6 +142,7 @@
         const service_entry* entry = nullptr;
         std::map<std::string, permille_map> shares;  // by caller region
         amount_map demand;                           // by caller region; a small minimum for idle ones
+        service_size size;                           // of a request
         double total = 0;
         std::map<std::string, region_capacity> capacities;
         amount_map load;     // of this service, by target region
@@ -123,6 +151,7 @@
         double budget = 0;  // share of the service's traffic that may still move
         double cold_budget = 0;
         bool blocked = false;           // traffic should move and no region has room for it
+        bool frozen = false;            // a move over a limited link lacks fresh sizes
         std::set<std::string> changed;  // caller regions
     };
 
@@ -132,10 +161,13 @@
     bool read_demand(step& plan, time_point now) const;
     bool read_capacity(step& plan, time_point now) const;
     double last_demand(const subject_key& key) const;
-    amount_map total_load(time_point now) const;
+    service_size size_of(const std::string& service, time_point now) const;
+    amount_map entry_parts(const subject_key& key) const;
+    link_map link_bytes(const subject_key& key, const service_size& size, const std::string& target) const;
+    planned_loads total_load(time_point now) const;
     void read_caller_regions(const wire::configuration_t& configuration);
     std::set<std::string> caller_regions(const service_entry& entry) const;
-    std::vector<std::string> by_latency(const std::string& caller, const step& plan, const amount_map& loads) const;
+    std::vector<std::string> by_latency(const std::string& caller, const step& plan, const planned_loads& loads) const;
     std::uint32_t latency(const std::string& from, const std::string& to) const;
     void first_assignments(const std::string& service, const service_entry& entry, time_point now,
                            std::vector<wire::assignment_t>& result);
@@ -143,11 +175,12 @@
                              time_point now) const;
     bool prepare(step& plan, time_point now);
     void set_budget(step& plan, time_point now);
-    double excess(const step& plan, const amount_map& loads, const std::string& region) const;
-    double room(const step& plan, const amount_map& loads, const std::string& region) const;
-    void relieve(step& plan, amount_map& loads) const;
-    void improve(step& plan, amount_map& loads) const;
-    double move(step& plan, amount_map& loads, const std::string& caller, const std::string& from,
+    double excess(const step& plan, const planned_loads& loads, const std::string& region) const;
+    double room(const step& plan, const planned_loads& loads, const std::string& region) const;
+    double link_room(step& plan, const planned_loads& loads, const std::string& caller, const std::string& to) const;
+    void relieve(step& plan, planned_loads& loads) const;
+    void improve(step& plan, planned_loads& loads) const;
+    double move(step& plan, planned_loads& loads, const std::string& caller, const std::string& from,
                 const std::string& to, double amount) const;
     void finish(step& plan, time_point now, std::vector<wire::assignment_t>& result);
     static wire::assignment_t to_assignment(const std::string& service, const std::string& caller,
@@ -164,6 +197,8 @@
     std::map<std::string, time_point> pending;        // services with a decided step that is not applied yet
     std::map<subject_key, std::map<std::string, demand_sample>> demands;       // then by edge
     std::map<subject_key, std::map<std::string, capacity_sample>> capacities;  // then by edge
+    std::map<std::string, std::map<std::string, size_sample>> sizes;           // by service and edge
+    std::map<std::string, std::string> edge_places;                            // region by edge
     std::map<std::string, std::deque<past_move>> moves;                        // by service
     std::map<std::string, shift_status> states;
     std::optional<time_point> known_since;  // first applied revision
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -563,9 +563,13 @@
             this->shifts.forget(ping.edge);
         }
         found->second = {ping.incarnation, now};
-        this->shifts.add_caller_region(ping.region);
+        this->shifts.place_edge(ping.edge, ping.region);
         for (const auto& demand : ping.service_demands) {
-            this->shifts.observe(ping.edge, *demand, local_time(now, demand->taken_at_ms));
+            std::optional<time_point> sizes_taken_at;
+            if (demand->sizes_taken_at_ms > 0) {
+                sizes_taken_at = local_time(now, demand->sizes_taken_at_ms);
+            }
+            this->shifts.observe(ping.edge, *demand, local_time(now, demand->taken_at_ms), sizes_taken_at);
         }
         for (const auto& capacity : ping.capacities) {
             this->shifts.observe(ping.edge, *capacity, local_time(now, capacity->taken_at_ms));
--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -286,6 +286,10 @@
     time_point now = this->edge.loop.now();
     this->edge.targets.finished(now, this->target->service, this->target->id, {result, now - this->dispatched_at});
     this->edge.capacity.release(this->ticket, answer_bytes, now);
+    if (answer_bytes > 0) {
+        std::uint64_t request_bytes = message_bytes(this->order.request.headers, this->order.request.body.size());
+        this->edge.meter.answered(this->order.service->name, request_bytes, answer_bytes);
+    }
     this->target.reset();
     this->edge.capacity_released(this->order.service->name);
 }
--- a/src/edge/service_meter.cpp
+++ b/src/edge/service_meter.cpp
@@ -27,6 +27,14 @@
     found->second->Observe(static_cast<double>(latency.count()) / ms_per_second);
 }
 
+void service_meter::answered(const std::string& service, std::uint64_t request_bytes, std::uint64_t answer_bytes) {
+    sizes& entry = this->transfers[service];
+    entry.requests += 1;
+    entry.request_bytes += static_cast<double>(request_bytes);
+    entry.answer_bytes += static_cast<double>(answer_bytes);
+    entry.changed = true;
+}
+
 void service_meter::close_window(time_point now) {
     duration elapsed = now - this->window_started;
     if (elapsed < demand_window) {
@@ -38,6 +46,17 @@
     }
     this->window_started = now;
     this->measured_at_ms = unix_time_ms();
+    for (auto& [service, entry] : this->transfers) {
+        if (!std::exchange(entry.changed, false)) {
+            continue;
+        }
+        entry.mean_request_bytes = entry.request_bytes / entry.requests;
+        entry.mean_answer_bytes = entry.answer_bytes / entry.requests;
+        entry.measured_at_ms = this->measured_at_ms;
+        entry.requests /= 2;
+        entry.request_bytes /= 2;
+        entry.answer_bytes /= 2;
+    }
     ++this->sequence;
 }
 
@@ -51,6 +70,11 @@
         demand->requests_per_second = entry.per_second;
         demand->taken_at_ms = this->measured_at_ms;
         demand->sequence = this->sequence;
+        if (auto size = this->transfers.find(key.first); size != this->transfers.end()) {
+            demand->request_bytes = size->second.mean_request_bytes;
+            demand->answer_bytes = size->second.mean_answer_bytes;
+            demand->sizes_taken_at_ms = size->second.measured_at_ms;
+        }
     }
     if (now < this->started_at + target_lease) {
         return;  // announcements may not have arrived yet
--- a/src/steering/shift_controller.cpp
+++ b/src/steering/shift_controller.cpp
@@ -75,6 +75,8 @@
             service_entry& entry = position->second;
             wire::shift_cap_t cap = service->shift ? *service->shift : wire::shift_cap_t{};
             entry.max_permille = added ? cap.max_permille : std::min(entry.max_permille, cap.max_permille);
+            entry.max_request_bytes = std::max(entry.max_request_bytes, service->max_request_bytes);
+            entry.max_answer_bytes = std::max(entry.max_answer_bytes, service->max_answer_bytes);
             entry.interval = added ? ms(cap.interval_ms) : std::max(entry.interval, ms(cap.interval_ms));
             for (const auto& region : service->regions) {
                 if (std::find(entry.regions.begin(), entry.regions.end(), region) == entry.regions.end()) {
@@ -106,6 +108,11 @@
     this->edge_regions.insert(region);
 }
 
+void shift_controller::place_edge(const std::string& edge, const std::string& region) {
+    this->edge_places[edge] = region;
+    this->add_caller_region(region);
+}
+
 // Changes that this process did not decide itself are counted with the largest share that any caller region moved,
 // because the demand at the time is not known here.
 void shift_controller::read_assignments(const wire::configuration_t& configuration, time_point now) {
@@ -136,7 +143,11 @@
             auto after = shares.find(region);
             std::uint32_t kept = after == shares.end() ? 0 : std::min(permille, after->second);
             share += (permille - kept) / double{whole};
-            moved.left[region] += this->last_demand(key) * (permille - kept) / whole;
+            double amount = this->last_demand(key) * (permille - kept) / whole;
+            moved.left[region] += amount;
+            for (const auto& [link, bytes] : this->link_bytes(key, this->size_of(key.first, now), region)) {
+                moved.left_links[link] += amount * bytes;
+            }
         }
         moved.at = now;
         moved.share = std::max(moved.share, share);
@@ -150,10 +161,16 @@
 
 // ---- Measurements ----
 
-void shift_controller::observe(const std::string& edge, const wire::service_demand_t& demand, time_point taken_at) {
+void shift_controller::observe(const std::string& edge, const wire::service_demand_t& demand, time_point taken_at,
+                               std::optional<time_point> sizes_taken_at) {
     demand_sample& sample = this->demands[{demand.service, demand.caller_region}][edge];
-    if (demand.sequence > sample.sequence) {
-        sample = {std::max(0.0, demand.requests_per_second), taken_at, demand.sequence};
+    if (demand.sequence <= sample.sequence) {
+        return;
+    }
+    sample = {std::max(0.0, demand.requests_per_second), taken_at, demand.sequence};
+    if (sizes_taken_at) {
+        this->sizes[demand.service][edge] = {std::max(0.0, demand.request_bytes), std::max(0.0, demand.answer_bytes),
+                                             *sizes_taken_at};
     }
 }
 
@@ -172,6 +189,10 @@
     for (auto& [key, samples] : this->capacities) {
         samples.erase(edge);
     }
+    for (auto& [service, samples] : this->sizes) {
+        samples.erase(edge);
+    }
+    this->edge_places.erase(edge);
 }
 
 bool shift_controller::fresh(time_point taken_at, time_point now) const {
@@ -241,18 +262,94 @@
     return true;
 }
 
-// Assigned traffic of all services by target region, and what cached answers may still send to regions it left.
-shift_controller::amount_map shift_controller::total_load(time_point now) const {
+// Bytes per request: the largest of the edges' means, of the fresh ones if there are any; before the first answer the
+// record's maximum.
+shift_controller::service_size shift_controller::size_of(const std::string& service, time_point now) const {
+    service_size result;
+    auto samples = this->sizes.find(service);
+    if (samples == this->sizes.end() || samples->second.empty()) {
+        auto entry = this->services.find(service);
+        if (entry != this->services.end()) {
+            result = {double(entry->second.max_request_bytes), double(entry->second.max_answer_bytes), false};
+        }
+        return result;
+    }
+    for (const auto& [edge, sample] : samples->second) {
+        bool fresh = sample.taken_at <= now + clock_tolerance && now - sample.taken_at <= this->options.size_age_limit;
+        if (fresh && !result.fresh) {
+            result = {0, 0, true};
+        }
+        if (fresh || !result.fresh) {
+            result.request_bytes = std::max(result.request_bytes, sample.request_bytes);
+            result.answer_bytes = std::max(result.answer_bytes, sample.answer_bytes);
+        }
+    }
+    return result;
+}
+
+// Parts of a caller region's demand by the region of the edges that it enters through; without demand its own region.
+shift_controller::amount_map shift_controller::entry_parts(const subject_key& key) const {
     amount_map result;
+    double total = this->last_demand(key);
+    if (total <= 0) {
+        result[key.second] = 1;
+        return result;
+    }
+    for (const auto& [edge, sample] : this->demands.at(key)) {
+        auto place = this->edge_places.find(edge);
+        result[place == this->edge_places.end() ? key.second : place->second] += sample.requests_per_second / total;
+    }
+    return result;
+}
+
+// Mean bytes over each limited link per request that is served in `target`.
+shift_controller::link_map shift_controller::link_bytes(const subject_key& key, const service_size& size,
+                                                        const std::string& target) const {
+    link_map result;
+    for (const auto& [entry, part] : this->entry_parts(key)) {
+        if (entry == target || part <= 0) {
+            continue;
+        }
+        resource out = link_resource(entry, target);
+        resource back = link_resource(target, entry);
+        if (this->limits.limit(out) < unlimited) {
+            result[out] += part * size.request_bytes;
+        }
+        if (this->limits.limit(back) < unlimited) {
+            result[back] += part * size.answer_bytes;
+        }
+    }
+    return result;
+}
+
+// Assigned traffic of all services by target region and by link, and what cached answers may still send to regions and
+// over links that it left.
+shift_controller::planned_loads shift_controller::total_load(time_point now) const {
+    planned_loads result;
+    std::map<std::string, service_size> known;
+    for (const auto& [service, entry] : this->services) {
+        known[service] = this->size_of(service, now);
+    }
     for (const auto& [key, shares] : this->assignments) {
+        double demand = this->last_demand(key);
         for (const auto& [region, permille] : shares) {
-            result[region] += this->last_demand(key) * permille / whole;
+            double amount = demand * permille / whole;
+            result.regions[region] += amount;
+            for (const auto& [link, bytes] : this->link_bytes(key, known[key.first], region)) {
+                result.links[link] += amount * bytes;
+            }
         }
     }
     for (const auto& [service, list] : this->moves) {
         for (const auto& moved : list) {
+            if (now >= moved.at + this->options.cached_answer_lifetime) {
+                continue;
+            }
             for (const auto& [region, amount] : moved.left) {
-                result[region] += now < moved.at + this->options.cached_answer_lifetime ? amount : 0;
+                result.regions[region] += amount;
+            }
+            for (const auto& [link, amount] : moved.left_links) {
+                result.links[link] += amount;
             }
         }
     }
@@ -275,7 +372,7 @@
 
 // Allowed regions: the own one, then by latency, then by room.
 std::vector<std::string> shift_controller::by_latency(const std::string& caller, const step& plan,
-                                                      const amount_map& loads) const {
+                                                      const planned_loads& loads) const {
     std::vector<std::pair<std::pair<std::uint32_t, double>, std::string>> order;
     for (const auto& region : plan.entry->regions) {
         order.push_back({{this->latency(caller, region), -this->room(plan, loads, region)}, region});
@@ -361,7 +458,7 @@
     if (!this->leading) {
         return result;
     }
-    amount_map loads = this->total_load(now);
+    planned_loads loads = this->total_load(now);
     for (const auto& [service, entry] : this->services) {
         auto waiting = this->pending.find(service);
         if (waiting != this->pending.end() && now < waiting->second + pending_timeout) {
@@ -393,6 +490,7 @@
             plan.shares[key.second] = shares;
         }
     }
+    plan.size = this->size_of(plan.service, now);
     this->set_budget(plan, now);
     if (!this->read_demand(plan, now)) {
         return false;
@@ -435,7 +533,10 @@
     shift_status& status = this->states[plan.service];
     if (plan.changed.empty()) {
         bool capped = plan.blocked && plan.budget * whole < 1;
-        status.state = !plan.blocked ? shift_state::settled : capped ? shift_state::cap_used : shift_state::no_room;
+        status.state = plan.frozen     ? shift_state::measurements_stale
+                       : !plan.blocked ? shift_state::settled
+                       : capped        ? shift_state::cap_used
+                                       : shift_state::no_room;
         return;
     }
     status.state = shift_state::moving;
@@ -454,7 +555,7 @@
 // ---- Moving traffic ----
 
 // Traffic of the service above what the region can take; all of it when the region may not or cannot serve it.
-double shift_controller::excess(const step& plan, const amount_map& loads, const std::string& region) const {
+double shift_controller::excess(const step& plan, const planned_loads& loads, const std::string& region) const {
     double load = value_of(plan.load, region);
     auto capacity = plan.capacities.find(region);
     const auto& allowed = plan.entry->regions;
@@ -465,12 +566,12 @@
     }
     double above_capacity = load - capacity->second.requests_per_second * this->options.overload;
     double limit = this->limits.limit(region_resource(region));
-    double above_limit = value_of(loads, region) - limit * this->options.overload;
+    double above_limit = value_of(loads.regions, region) - limit * this->options.overload;
     return std::clamp(std::max(above_capacity, above_limit), 0.0, load);
 }
 
 // Requests per second that may still be planned into a region, traffic included that has not left it yet.
-double shift_controller::room(const step& plan, const amount_map& loads, const std::string& region) const {
+double shift_controller::room(const step& plan, const planned_loads& loads, const std::string& region) const {
     auto capacity = plan.capacities.find(region);
     if (capacity == plan.capacities.end()) {
         return 0;
@@ -478,18 +579,35 @@
     double load = value_of(plan.load, region) + value_of(plan.leaving, region);
     double within_capacity = capacity->second.requests_per_second * this->options.fill - load;
     double limit = this->limits.limit(region_resource(region));
-    double within_limit = limit * this->options.fill - value_of(loads, region);
+    double within_limit = limit * this->options.fill - value_of(loads.regions, region);
     return std::max(0.0, std::min(within_capacity, within_limit));
 }
 
+// Requests per second of a caller region that the links to a region and back still take.
+double shift_controller::link_room(step& plan, const planned_loads& loads, const std::string& caller,
+                                   const std::string& to) const {
+    double result = unlimited;
+    for (const auto& [link, bytes] : this->link_bytes({plan.service, caller}, plan.size, to)) {
+        if (!plan.size.fresh) {
+            plan.frozen = true;
+            return 0;
+        }
+        auto load = loads.links.find(link);
+        double room = this->limits.limit(link) * this->options.fill - (load == loads.links.end() ? 0 : load->second);
+        result = bytes > 0 ? std::min(result, std::max(0.0, room) / bytes) : result;
+    }
+    return result;
+}
+
 // Moves at most `amount` requests per second within the budgets and the room of `to`; returns what was moved.
-double shift_controller::move(step& plan, amount_map& loads, const std::string& caller, const std::string& from,
+double shift_controller::move(step& plan, planned_loads& loads, const std::string& caller, const std::string& from,
                               const std::string& to, double amount) const {
     double demand = plan.demand.at(caller);
     double weight = std::max(demand, plan.total * idle_weight) / plan.total;
     bool cold = plan.capacities.at(to).cold;
     double budget = cold ? std::min(plan.budget, plan.cold_budget) : plan.budget;
-    double part = std::min({amount / demand, this->room(plan, loads, to) / demand, budget / weight});
+    double room = std::min(this->room(plan, loads, to), this->link_room(plan, loads, caller, to));
+    double part = std::min({amount / demand, room / demand, budget / weight});
     auto permille = static_cast<std::uint32_t>(std::clamp(part * whole + rounding, 0.0, double{whole}));
     permille = std::min(permille, plan.shares[caller][from]);
     if (permille == 0) {
@@ -510,12 +628,19 @@
     plan.leaving[from] += moved;  // `loads` keeps it at `from` as well, until cached answers have expired
     plan.load[to] += moved;
     plan.moved.left[from] += moved;
-    loads[to] += moved;
+    loads.regions[to] += moved;
+    subject_key key{plan.service, caller};
+    for (const auto& [link, bytes] : this->link_bytes(key, plan.size, from)) {
+        plan.moved.left_links[link] += moved * bytes;
+    }
+    for (const auto& [link, bytes] : this->link_bytes(key, plan.size, to)) {
+        loads.links[link] += moved * bytes;
+    }
     return moved;
 }
 
 // Moves traffic out of regions that are overloaded, failed or no longer allowed; the callers furthest away first.
-void shift_controller::relieve(step& plan, amount_map& loads) const {
+void shift_controller::relieve(step& plan, planned_loads& loads) const {
     amount_map excesses;
     for (const auto& [region, load] : plan.load) {
         excesses[region] = this->excess(plan, loads, region);
@@ -540,7 +665,7 @@
 }
 
 // Moves traffic to nearer regions that have room for it.
-void shift_controller::improve(step& plan, amount_map& loads) const {
+void shift_controller::improve(step& plan, planned_loads& loads) const {
     for (auto& [caller, shares] : plan.shares) {
         for (const auto& [from, permille] : permille_map(shares)) {
             for (const auto& target : this->by_latency(caller, plan, loads)) {
--- a/tests/steering/test_shift.cpp
+++ b/tests/steering/test_shift.cpp
@@ -30,12 +30,22 @@
     double cold_share = 0;
 };
 
+struct message_sizes {
+    double request = 0;
+    double answer = 0;
+};
+
 // Two control processes, one edge per region, and services whose demand and capacity are set by the test.
 class shift_world {
 public:
-    shift_world() {
+    explicit shift_world(shift_options options = {.cached_answer_lifetime = ttl},
+                         std::vector<std::string> names = {"desk", "till"})
+        : services(std::move(names)) {
         for (int i = 0; i < 2; ++i) {
-            this->processes.emplace_back(shift_options{.cached_answer_lifetime = ttl}, latencies);
+            this->processes.emplace_back(options, latencies);
+            for (const auto& region : regions) {
+                this->processes.back().place_edge("edge-" + region, region);
+            }
         }
         for (const auto& region : regions) {
             this->limit[region] = 1000;
@@ -65,6 +75,12 @@
             entry->region = region;
             entry->max_requests_per_second = amount;
         }
+        for (const auto& [link, bytes] : this->link_limit) {
+            auto& entry = record->links.emplace_back(std::make_unique<wire::link_limit_t>());
+            entry->from = link.first;
+            entry->to = link.second;
+            entry->max_mbit_per_second = bytes / 125000;
+        }
         for (const auto& [subject, parts] : this->applied) {
             auto& entry = result.assignments.emplace_back(std::make_unique<wire::assignment_t>());
             entry->service = subject.first;
@@ -85,14 +101,46 @@
         }
     }
 
+    // Part of a caller region's requests that enters through the edge of a region: all through the own one, or `detour`
+    // of them through the next one.
+    double entry_part(const std::string& caller, const std::string& entry) const {
+        auto found = this->detour.find(caller);
+        double elsewhere = found == this->detour.end() ? 0 : found->second;
+        std::size_t own = static_cast<std::size_t>(std::find(regions.begin(), regions.end(), caller) - regions.begin());
+        return entry == caller ? 1 - elsewhere : entry == regions[(own + 1) % regions.size()] ? elsewhere : 0;
+    }
+
+    void measure_demand(const std::string& service, const std::string& caller) {
+        for (const auto& entry : regions) {
+            double part = this->entry_part(caller, entry);
+            if (part <= 0) {
+                continue;
+            }
+            wire::service_demand_t sample;
+            sample.service = service;
+            sample.caller_region = caller;
+            sample.requests_per_second = this->demand[{service, caller}] * part;
+            sample.sequence = this->sequence;
+            sample.request_bytes = this->sizes[service].request;
+            sample.answer_bytes = this->sizes[service].answer;
+            std::optional<time_point> sizes_at;
+            if (this->sizes_at.contains(service)) {
+                sizes_at = this->sizes_at[service];
+            }
+            for (auto& process : this->processes) {
+                process.observe("edge-" + entry, sample, this->now, sizes_at);
+            }
+        }
+    }
+
     void measure(const std::string& service) {
         ++this->sequence;
+        if (!this->without_sizes.contains(service)) {
+            this->sizes_at[service] = this->now;
+            this->sizes[service] = this->next_sizes[service];
+        }
         for (const auto& region : regions) {
-            wire::service_demand_t demand_sample;
-            demand_sample.service = service;
-            demand_sample.caller_region = region;
-            demand_sample.requests_per_second = this->demand[{service, region}];
-            demand_sample.sequence = this->sequence;
+            this->measure_demand(service, region);
             wire::region_capacity_t capacity_sample;
             capacity_sample.service = service;
             capacity_sample.region = region;
@@ -101,7 +149,6 @@
             capacity_sample.requests_per_second = this->capacity[{service, region}];
             capacity_sample.sequence = this->sequence;
             for (auto& process : this->processes) {
-                process.observe("edge-" + region, demand_sample, this->now);
                 process.observe("edge-north", capacity_sample, this->now);
             }
         }
@@ -134,9 +181,11 @@
             }
         }
         this->check_room(next);
+        this->check_links(next);
         if (lost) {
             return;
         }
+        this->note_left_links(next);
         for (auto& [service, move] : moved) {
             move.at = this->now;
             this->history[service].push_back(move);
@@ -175,6 +224,10 @@
     std::map<key, double> demand;
     std::map<key, double> capacity;
     std::map<std::string, double> limit;
+    std::map<key, double> link_limit;                 // bytes per second, by from and to
+    std::map<std::string, message_sizes> next_sizes;  // by service, measured next
+    std::set<std::string> without_sizes;              // services whose edges measure no new sizes
+    std::map<std::string, double> detour;             // by caller region
     std::set<std::string> cold;
     std::map<key, shares> applied;
 
@@ -230,8 +283,84 @@
         }
     }
 
+    // Bytes per second over each limited link that one assignment's share causes.
+    std::map<key, double> link_bytes(const key& subject, const std::string& target, std::uint32_t permille) const {
+        std::map<key, double> result;
+        auto size = this->sizes.find(subject.first);
+        auto amount = this->measured_demand.find(subject);
+        if (size == this->sizes.end() || amount == this->measured_demand.end()) {
+            return result;
+        }
+        for (const auto& entry : regions) {
+            double rate = amount->second * permille / 1000 * this->entry_part(subject.second, entry);
+            if (entry != target && this->link_limit.contains({entry, target})) {
+                result[{entry, target}] += rate * size->second.request;
+            }
+            if (entry != target && this->link_limit.contains({target, entry})) {
+                result[{target, entry}] += rate * size->second.answer;
+            }
+        }
+        return result;
+    }
+
+    bool over_limited_link(const std::string& caller, const std::string& target) const {
+        return std::any_of(regions.begin(), regions.end(), [&](const auto& entry) {
+            return entry != target && this->entry_part(caller, entry) > 0 &&
+                   (this->link_limit.contains({entry, target}) || this->link_limit.contains({target, entry}));
+        });
+    }
+
+    // Traffic that cached answers still send over a link counts until their lifetime has passed.
+    void check_links(const std::map<key, shares>& next) const {
+        std::map<key, double> loads;
+        for (const auto& [at, links] : this->left_links) {
+            for (const auto& [link, bytes] : links) {
+                loads[link] += this->now < at + ttl ? bytes : 0;
+            }
+        }
+        for (const auto& [subject, parts] : next) {
+            for (const auto& [region, permille] : parts) {
+                for (const auto& [link, bytes] : this->link_bytes(subject, region, permille)) {
+                    loads[link] += bytes;
+                }
+            }
+        }
+        for (const auto& [subject, parts] : next) {
+            auto before = this->applied.find(subject);
+            for (const auto& [region, permille] : parts) {
+                bool raised = before != this->applied.end() &&
+                              (!before->second.contains(region) || before->second.at(region) < permille);
+                if (!raised || !this->over_limited_link(subject.second, region)) {
+                    continue;
+                }
+                RC_ASSERT(this->sizes_at.contains(subject.first));
+                RC_ASSERT(this->now - this->sizes_at.at(subject.first) <= ms(30000));
+                for (const auto& [link, bytes] : this->link_bytes(subject, region, permille)) {
+                    RC_ASSERT((bytes <= 0 || loads[link] <= this->link_limit.at(link) * (1 + 1e-9)));
+                }
+            }
+        }
+    }
+
+    void note_left_links(const std::map<key, shares>& next) {
+        std::map<key, double> left;
+        for (const auto& [subject, parts] : this->applied) {
+            for (const auto& [region, permille] : parts) {
+                const shares& after = next.at(subject);
+                std::uint32_t kept = after.contains(region) ? std::min(permille, after.at(region)) : 0;
+                for (const auto& [link, bytes] : this->link_bytes(subject, region, permille - kept)) {
+                    left[link] += bytes;
+                }
+            }
+        }
+        this->left_links.emplace_back(this->now, std::move(left));
+    }
+
     std::uint64_t revision = 0;
     std::uint64_t sequence = 0;
+    std::map<std::string, message_sizes> sizes;  // last measured
+    std::map<std::string, time_point> sizes_at;
+    std::vector<std::pair<time_point, std::map<key, double>>> left_links;
     std::map<std::string, time_point> measured_at;
     std::map<key, double> measured_demand;
     std::map<key, double> measured_capacity;
@@ -282,6 +411,109 @@
     });
 }
 
+// Guards against steps that overload a link or a region, alone or together, and against a shift over a limited link on
+// old sizes. Nothing is held back (fill 1), so that a load that is not counted shows.
+TEST_CASE("every step keeps the limits of links and regions of several services") {
+    rc::prop("changing demand, capacity, sizes, limits of links and regions, leaders and lost measurements", [] {
+        std::mt19937_64 random(*rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
+        shift_world world({.cached_answer_lifetime = ttl, .overload = 1, .fill = 1}, {"desk", "lookup", "till"});
+        auto any = [&](const auto& list) { return list[random() % list.size()]; };
+        auto link = [&] {
+            std::size_t from = random() % 3;
+            return key{regions[from], regions[(from + 1 + random() % 2) % 3]};
+        };
+        for (const auto& service : world.services) {
+            world.next_sizes[service] = {static_cast<double>(random() % 2000), static_cast<double>(random() % 4000)};
+        }
+        for (int i = 0; i < 150; ++i) {
+            std::string service = any(world.services);
+            std::string region = any(regions);
+            switch (random() % 14) {
+            case 0:
+                world.demand[{service, region}] = static_cast<double>(random() % 400);
+                break;
+            case 1:
+            case 2:
+                world.capacity[{service, region}] = static_cast<double>(random() % 3 * 250);
+                break;
+            case 3:
+                world.limit[region] = static_cast<double>(100 + random() % 900);
+                world.apply();
+                break;
+            case 4:
+                world.change_leader();
+                break;
+            case 5:
+                world.link_limit[link()] = static_cast<double>(random() % 400000);
+                world.apply();
+                break;
+            case 6:
+                world.link_limit.erase(link());
+                world.apply();
+                break;
+            case 7:
+                world.next_sizes[service] = {static_cast<double>(random() % 2000),
+                                             static_cast<double>(random() % 4000)};
+                break;
+            case 8:
+                random() % 4 == 0 ? void(world.without_sizes.insert(service)) : world.without_sizes.clear();
+                break;
+            default:
+                break;
+            }
+            if (i == 0) {
+                world.detour[region] = 0.3;
+            }
+            for (const auto& name : world.services) {
+                if (random() % 3 != 0) {
+                    world.measure(name);
+                }
+            }
+            bool lost = random() % 20 == 0;
+            world.step(ms(static_cast<std::int64_t>(random() % 1500)), lost);
+            if (lost) {
+                world.change_leader();
+            }
+        }
+    });
+}
+
+// Guards the freeze on missing sizes, its end, and the reduction of a step to what the link takes.
+TEST_CASE("a shift over a limited link needs fresh sizes and is reduced to the link's limit") {
+    shift_world world;
+    world.next_sizes["desk"] = {1000, 3000};
+    world.link_limit[{"central", "north"}] = 150000;  // responses of 40 requests/s at 80% of the limit
+    world.link_limit[{"north", "south"}] = 0;
+    world.apply();
+    world.without_sizes = {"desk"};
+    auto run = [&](int seconds) {
+        for (int i = 0; i < seconds; ++i) {
+            world.measure("desk");
+            world.step(ms(1000));
+        }
+    };
+    run(10);
+    world.capacity[{"desk", "north"}] = 0;
+    run(20);
+    CHECK(world.share("north", "north") == 1000);
+    CHECK(world.processes[0].status().at("desk").state == shift_state::measurements_stale);
+    world.without_sizes.clear();
+    run(40);
+    CHECK(world.share("north", "central") == 400);
+    CHECK(world.share("north", "north") == 600);
+    CHECK(world.processes[0].status().at("desk").state == shift_state::no_room);
+    world.without_sizes = {"desk"};
+    run(31);  // the sizes are too old from now on
+    world.link_limit[{"central", "north"}] = 300000;
+    world.apply();
+    run(30);
+    CHECK(world.share("north", "central") == 400);
+    CHECK(world.processes[0].status().at("desk").state == shift_state::measurements_stale);
+    world.without_sizes.clear();
+    run(30);
+    CHECK(world.share("north", "central") == 800);
+}
+
 // Guards against caller regions that edges derive and that never get an assignment: their callers would be refused.
 TEST_CASE("every caller region that an edge may derive gets a first assignment at once") {
     shift_world world;
