--- a/src/control/shift_driver.cpp
+++ b/src/control/shift_driver.cpp
@@ -27,8 +27,13 @@
         this->shifts.forget(ping.edge);
     }
     found->second = {ping.incarnation, now};
+    this->shifts.place_edge(ping.edge, ping.region);
     for (const auto& demand : ping.service_demands) {
-        this->shifts.observe(ping.edge, *demand, local_time(now, demand->taken_at_ms));
+        std::optional<time_point> sizes_taken_at;
+        if (demand->sizes_taken_at_ms > 0) {
+            sizes_taken_at = local_time(now, demand->sizes_taken_at_ms);
+        }
+        this->shifts.observe(ping.edge, *demand, local_time(now, demand->taken_at_ms), sizes_taken_at);
     }
     for (const auto& capacity : ping.capacities) {
         this->shifts.observe(ping.edge, *capacity, local_time(now, capacity->taken_at_ms));
@@ -39,6 +44,9 @@
     time_point now = this->loop.now();
     if (this->shifts_revision != this->store.revision()) {
         this->shifts_revision = this->store.revision();
+        for (const auto& edge : this->settings.edges) {
+            this->shifts.add_caller_region(edge->region);
+        }
         this->shifts.apply(this->store.configuration(), now);
     }
     if (!this->refresh_authority() || this->is_stopping) {
