Answer incomplete requests with 408 and unparsable ones with 400 as JSON

Cause: h2o 2.2.5 closes the connection of an incomplete request without an answer, answers a request that it cannot parse with a plain text, and counts its timeout from the last answer: a request that begins 9.9 s after the previous answer was cut 0.1 s later. Its interface has no hook for any of these. Neither was counted.

Change: each connection of an http_server puts its own read callback in front of h2o's. A scanner looks at each header byte once and passes a header on when it is complete and acceptable to h2o's parser; otherwise the connection gets 400 (malformed), 413 (header above 64 KiB) or 408 (not complete within request_timeout of the first byte, or the caller ended its stream in the middle) and is closed. Bytes after a request are held back until it is answered, since h2o would parse them at once. Connections without any byte of a request are closed after idle_timeout (10 s, as before). The refusals are counted: persimmongrade_refusals_total on the edge (new reason request_incomplete) and persimmongrade_operator_refusals_total on the control process (new errors request_incomplete and request_too_large; 413 was counted only in persimmongrade_http_rejected_requests).

Conclusion: 200 incomplete requests are answered, counted and released while others are served.

--- a/include/persimmongrade/control_server.h
+++ b/include/persimmongrade/control_server.h
@@ -17,7 +17,8 @@
 namespace persimmongrade {
 
 struct control_options {
-    bool bootstrap = false;  // first start of a new cluster: an empty data directory may vote at once
+    bool bootstrap = false;                // first start of a new cluster: an empty data directory may vote at once
+    duration request_timeout = ms(10000);  // from the first byte of a request to its last, then request_incomplete
 };
 
 class control_server {
--- a/include/persimmongrade/edge_server.h
+++ b/include/persimmongrade/edge_server.h
@@ -21,6 +21,7 @@
 struct edge_options {
     bool first_start = false;       // the deployment never ran before: the ledger has nothing to copy. Unsafe later
     std::uint64_t random_seed = 0;  // of the choice of targets and regions; 0: the time of the start
+    duration request_timeout = ms(10000);  // from the first byte of a request to its last, then request_incomplete
 
     auto operator<=>(const edge_options&) const = default;
 };
--- a/include/persimmongrade/event_loop.h
+++ b/include/persimmongrade/event_loop.h
@@ -37,6 +37,9 @@
     timer_id every(duration period, std::function<void()> callback);  // first run after one period
     void cancel(timer_id id);                                         // unknown ids are ignored
 
+    // Runs after the socket events of each poll, and adds no callback itself. Returns whether it started writes.
+    timer_id after_each_poll(std::function<bool()> callback);
+
     // Signals: the callback runs on the loop, at most 100 ms after delivery
     void on_signal(int number, std::function<void()> callback);
 
--- a/include/persimmongrade/http_server.h
+++ b/include/persimmongrade/http_server.h
@@ -22,9 +22,10 @@
 
 struct http_server_options {
     std::size_t max_body_bytes = 1048576;
-    duration request_timeout = ms(10000);  // from the first byte of a request to its last
-    // Makes the answer to a request that the HTTP layer rejects itself, from its status (400, 413 and others). The body
-    // replaces the one of h2o. Empty: a generic JSON error.
+    duration request_timeout = ms(10000);  // from the first byte of a request to its last, then 408
+    duration idle_timeout = ms(10000);     // a connection without any byte of a request is closed
+    // Makes the answer to a request that the HTTP layer rejects itself, from its status: 400 (unparsable), 408
+    // (incomplete), 413 (too large) and others. The body replaces the one of h2o. Empty: a generic JSON error.
     std::function<http_response(int status)> rejection;
 };
 
@@ -51,7 +52,8 @@
     void close_after_answer();           // ends connections after their next answer; new connections are still accepted
     void close_listener();               // accepts no new connections; open ones are told to close after their request
     std::size_t open_exchanges() const;  // requests not yet answered
-    std::uint64_t rejected_requests() const;  // malformed or oversized requests answered by the HTTP layer itself
+    std::size_t open_connections() const;
+    std::uint64_t rejected_requests() const;  // malformed, incomplete or oversized; answered by the HTTP layer itself
 
 private:
     struct impl;
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -155,7 +155,7 @@
           log(*this, log_options(this->settings), data_options(this->settings, options), loop.now()),
           peers(loop, this->settings.cluster, this->log.id(), ip_address::parse(this->settings.peer_address),
                 this->metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
-          http(loop, ip_address::parse(this->settings.http_address), {.max_body_bytes = max_http_body_bytes},
+          http(loop, ip_address::parse(this->settings.http_address), this->http_options(options),
                [this](const http_request& request, const exchange_pointer& exchange) {
                    this->handle(request, exchange);
                }),
@@ -184,6 +184,28 @@
         loop.every(join_interval, [this] { this->ask_to_join(); });
     }
 
+    http_server_options http_options(const control_options& given) {
+        http_server_options options;
+        options.max_body_bytes = max_http_body_bytes;
+        options.request_timeout = given.request_timeout;
+        options.rejection = [this](int status) {
+            constexpr int incomplete = 408;
+            constexpr int too_large = 413;
+            auto answer = [this](operator_error type, const char* message) {
+                this->count_refusal(type);
+                return error_response(type, message);
+            };
+            if (status == incomplete) {
+                return answer(operator_error::request_incomplete, "the request did not arrive completely in time");
+            }
+            if (status == too_large) {
+                return answer(operator_error::request_too_large, "the request is too large");
+            }
+            return answer(operator_error::bad_request, "the request is malformed");
+        };
+        return options;
+    }
+
     // ---- Start ----
 
     static consensus_options log_options(const wire::control_settings_t& settings) {
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -30,8 +30,10 @@
     stopping,
     outcome_unknown,
     internal_error,
+    request_incomplete,
+    request_too_large,
 };
-inline constexpr std::size_t operator_error_count = 10;
+inline constexpr std::size_t operator_error_count = 12;
 
 const char* to_string(operator_error type);
 
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -46,6 +46,20 @@
     return std::nullopt;
 }
 
+// The refusal of a request that the HTTP layer rejected with a status.
+refusal rejected_request(int status) {
+    constexpr int incomplete = 408;
+    constexpr int too_large = 413;
+    if (status == incomplete) {
+        return {wire::refusal_reason::request_incomplete, wire::outcome::none,
+                "the request did not arrive completely in time"};
+    }
+    if (status == too_large) {
+        return {wire::refusal_reason::request_too_large, wire::outcome::none, "the request is too large"};
+    }
+    return {wire::refusal_reason::bad_request, wire::outcome::none, "the request is malformed"};
+}
+
 }  // namespace
 
 struct edge_server::impl {
@@ -74,7 +88,7 @@
           forwarding(this->edge, this->ledger),
           peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
                 metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
-          http(loop, ip_address::parse(this->settings.http_address), this->http_options(),
+          http(loop, ip_address::parse(this->settings.http_address), this->http_options(options),
                [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
                    this->handle(std::move(request), exchange);
                }) {
@@ -268,15 +282,14 @@
 
     // ---- HTTP ----
 
-    http_server_options http_options() {
+    http_server_options http_options(const edge_options& given) {
         http_server_options options;
         options.max_body_bytes = this->settings.max_body_bytes;
+        options.request_timeout = given.request_timeout;
         options.rejection = [this](int status) {
-            constexpr int too_large = 413;
-            auto reason =
-                status == too_large ? wire::refusal_reason::request_too_large : wire::refusal_reason::bad_request;
-            this->edge.refusals.count(reason);
-            return refusal_response({reason, wire::outcome::none, "the request is malformed or too large"});
+            refusal refused = rejected_request(status);
+            this->edge.refusals.count(refused.reason);
+            return refusal_response(refused);
         };
         return options;
     }
--- a/src/edge/refusal.cpp
+++ b/src/edge/refusal.cpp
@@ -22,6 +22,8 @@
         return 404;
     case method_not_allowed:
         return 405;
+    case request_incomplete:
+        return 408;
     case claim_conflict:
         return 409;
     case key_expired:
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -41,6 +41,7 @@
     std::map<std::pair<time_point, timer_id>, timer> timers;
     std::unordered_map<timer_id, time_point> due_times;
     std::map<int, std::function<void()>> signal_callbacks;
+    std::map<timer_id, std::function<bool()>> poll_callbacks;
 
     timer_id add(duration delay, duration period, std::function<void()> callback) {
         timer_id id = this->next_id++;
@@ -93,6 +94,9 @@
             wait = duration::zero();
         }
         h2o_evloop_run(this->loop, static_cast<std::int32_t>(wait.count()));
+        for (auto& [id, callback] : this->poll_callbacks) {
+            this->work_started |= callback();
+        }
         this->run_due_timers();
         this->run_signal_callbacks();
     }
@@ -106,6 +110,7 @@
     this->state->timers.clear();
     this->state->due_times.clear();
     this->state->signal_callbacks.clear();
+    this->state->poll_callbacks.clear();
     retain_until_exit(std::move(this->state));
 }
 
@@ -139,7 +144,14 @@
     return this->state->add(period, period, std::move(callback));
 }
 
+timer_id event_loop::after_each_poll(std::function<bool()> callback) {
+    timer_id id = this->state->next_id++;
+    this->state->poll_callbacks.emplace(id, std::move(callback));
+    return id;
+}
+
 void event_loop::cancel(timer_id id) {
+    this->state->poll_callbacks.erase(id);
     auto found = this->state->due_times.find(id);
     if (found == this->state->due_times.end()) {
         return;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include "listener.h"
 #include "persimmongrade/error.h"
 #include "retained.h"
+#include "server_connections.h"
 
 namespace persimmongrade {
 
@@ -17,8 +18,11 @@
 
 constexpr duration close_check_period = ms(20);
 constexpr std::string_view content_length = "content-length";
+constexpr int status_request_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_caller_closed = 499;  // never reaches a caller
+// h2o measures its own timeout from the last answer, so it would cut a request that starts late. It only backs up ours.
+constexpr duration h2o_timeout_margin = ms(5000);
 
 std::string to_string(const h2o_iovec_t& text) {
     return {text.base, text.len};
@@ -154,10 +158,29 @@
     return request;
 }
 
+const char* rejection_type(int status) {
+    switch (status) {
+    case status_request_timeout:
+        return "request_incomplete";
+    case status_too_large:
+        return "request_too_large";
+    default:
+        return "bad_request";
+    }
+}
+
 http_response default_rejection(int status) {
-    const char* type = status == status_too_large ? "request_too_large" : "bad_request";
-    return json_response(status, std::string(R"({"error":")") + type +
-                                     R"(","outcome":"none","message":"the request is malformed or too large"})");
+    return json_response(status, std::string(R"({"error":")") + rejection_type(status) + R"(","outcome":"none",)" +
+                                     R"("message":"the request is malformed, incomplete or too large"})");
+}
+
+// Tells the connection when h2o disposes of the request: it has been answered or its connection ends.
+void watch_request(h2o_req_t* req) {
+    server_connection& connection = server_connection::of(req);
+    connection.begin_answer(req);
+    void* slot = h2o_mem_alloc_shared(&req->pool, sizeof(server_connection*),
+                                      [](void* memory) { (*static_cast<server_connection**>(memory))->end_answer(); });
+    *static_cast<server_connection**>(slot) = &connection;
 }
 
 // Replaces the body of an answer that h2o made itself.
@@ -192,6 +215,7 @@
     std::function<http_response(int status)> rejection = default_rejection;
     std::uint64_t rejected = 0;
     exchange_table table;
+    std::unique_ptr<server_connections> connections;
     event_loop* loop = nullptr;
     timer_id close_check_timer = 0;
 
@@ -213,6 +237,7 @@
 
     static int on_request(h2o_handler_t* self, h2o_req_t* req) {
         impl* owner = reinterpret_cast<handler_object*>(self)->owner;
+        watch_request(req);
         auto exchange = std::make_shared<server_exchange>(req, owner->table);
         using holder = std::shared_ptr<server_exchange>;
         void* slot = h2o_mem_alloc_shared(&req->pool, sizeof(holder), [](void* memory) {
@@ -228,8 +253,8 @@
     static void on_answer(h2o_filter_t* self, h2o_req_t* req, h2o_ostream_t** slot) {
         impl* owner = reinterpret_cast<filter_object*>(self)->owner;
         if (owner->table.answered != req) {
-            ++owner->rejected;
-            http_response response = owner->rejection(req->res.status);
+            watch_request(req);
+            http_response response = owner->reject(req->res.status);
             auto* stream = reinterpret_cast<rejection_stream*>(h2o_add_ostream(req, sizeof(rejection_stream), slot));
             stream->super.do_send = rejection_stream::send;
             stream->body = h2o_strdup(&req->pool, response.body.data(), response.body.size());
@@ -240,6 +265,11 @@
         h2o_setup_next_ostream(req, slot);
     }
 
+    http_response reject(int status) {
+        ++this->rejected;
+        return this->rejection(status);
+    }
+
     void add_filter(h2o_pathconf_t* path) {
         auto* object = reinterpret_cast<filter_object*>(h2o_create_filter(path, sizeof(filter_object)));
         object->super.on_setup_ostream = on_answer;
@@ -252,7 +282,7 @@
         }
         auto* owner = static_cast<impl*>(listener->data);
         while (h2o_socket_t* connection = h2o_evloop_socket_accept(listener)) {
-            h2o_accept(&owner->accept_context, connection);
+            owner->connections->add(&owner->accept_context, connection);
         }
     }
 };
@@ -265,7 +295,8 @@
     server.handler = std::move(handler);
     h2o_config_init(&server.config);
     server.config.max_request_entity_size = options.max_body_bytes;
-    server.config.http1.req_timeout = static_cast<std::uint64_t>(options.request_timeout.count());
+    duration longest_wait = options.idle_timeout + options.request_timeout + h2o_timeout_margin;
+    server.config.http1.req_timeout = static_cast<std::uint64_t>(longest_wait.count());
     server.config.http1.upgrade_to_http2 = 0;
     server.config.server_name = h2o_iovec_init(H2O_STRLIT("persimmongrade"));
     h2o_hostconf_t* host = h2o_config_register_host(&server.config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -279,6 +310,9 @@
         server.rejection = options.rejection;
     }
     h2o_context_init(&server.context, loop.native(), &server.config);
+    server.connections =
+        std::make_unique<server_connections>(loop, connection_limits{options.request_timeout, options.idle_timeout},
+                                             [&server](int status) { return server.reject(status); });
     server.accept_context.ctx = &server.context;
     server.accept_context.hosts = server.config.hosts;
     server.listener->data = &server;
@@ -290,6 +324,8 @@
 http_server::~http_server() {
     this->close_listener();
     this->state->loop->cancel(this->state->close_check_timer);
+    this->state->connections->stop_checks();
+    this->state->rejection = default_rejection;  // the owner's may refer to what ends with it
     // Open connections still point at the context, and h2o 2.2.5 offers no way to close them all, so the state of a
     // server that ends before its process is kept.
     retain_until_exit(std::move(this->state));
@@ -311,6 +347,10 @@
     return this->state->table.open_count;
 }
 
+std::size_t http_server::open_connections() const {
+    return this->state->connections->size();
+}
+
 std::uint64_t http_server::rejected_requests() const {
     return this->state->rejected;
 }
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -136,7 +136,7 @@
     std::vector<std::unique_ptr<edge_server>> edges;
 
     // Starts `regions.size()` edges, one per region, and waits until all are ready.
-    explicit edge_fixture(const std::vector<std::string>& regions = {"north"}) {
+    explicit edge_fixture(const std::vector<std::string>& regions = {"north"}, duration request_timeout = ms(10000)) {
         this->control.add_service("lookups", true);
         this->control.add_service("orders", false);
         std::vector<std::unique_ptr<wire::peer_settings_t>> list;
@@ -161,8 +161,9 @@
                 entry->edges.push_back(std::make_unique<wire::peer_settings_t>(*other));
             }
             this->metrics.push_back(std::make_unique<metric_registry>());
-            this->edges.push_back(std::make_unique<edge_server>(this->loop, *entry, *this->metrics.back(),
-                                                                edge_options{true, this->edges.size() + 1}));
+            this->edges.push_back(
+                std::make_unique<edge_server>(this->loop, *entry, *this->metrics.back(),
+                                              edge_options{true, this->edges.size() + 1, request_timeout}));
             this->settings.push_back(std::move(entry));
         }
         this->wait_until([&] {
--- a/tests/edge/test_bad_input.cpp
+++ b/tests/edge/test_bad_input.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include "../support/raw_connection.h"
 #include "edge_fixture.h"
 #include "persimmongrade/uuid.h"
 
@@ -61,11 +62,36 @@
     check_error(exchange_raw(edge, "GET /s/none/a HTTP/1.1\r\nhost: a\r\n\r\n"), 404, "unknown_service");
     check_error(exchange_raw(edge, "GET /v1/lookup?service=lookups&client=x HTTP/1.1\r\nhost: a\r\n\r\n"), 400,
                 "bad_request");
-    exchange_raw(edge, head + "content-length: 50\r\n\r\nhalf a request");
-    exchange_raw(edge, "\x01garbage\r\n\r\n");
+    CHECK(refused("bad_request") == 5);
+    check_error(exchange_raw(edge, "\x01garbage\r\n\r\n"), 400, "bad_request");
+    check_error(exchange_raw(edge, head + "no colon\r\n\r\n"), 400, "bad_request");
+    CHECK(refused("bad_request") == 7);
+    exchange_raw(edge, head + "content-length: 50\r\n\r\nhalf a request");  // closes before it is complete
+    CHECK(refused("request_incomplete") == 1);
     CHECK(edge.call("GET", "/healthz").status == 200);
 }
 
+// Guards against callers whose host died in the middle of a request, and against many of them at once.
+TEST_CASE("200 incomplete requests get 408 and are counted while others are served") {
+    edge_fixture edge({"north"}, ms(500));
+    const std::string head = "POST /s/orders/a HTTP/1.1\r\nhost: a\r\n";
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int i = 0; i < 200; ++i) {
+        callers.push_back(std::make_unique<raw_connection>(edge.http_address()));
+        callers.back()->send(i % 2 == 0 ? head : head + "content-length: 5000\r\n\r\n" + std::string(4000, 'b'));
+    }
+    for (int i = 0; i < 20; ++i) {
+        CHECK(edge.call("GET", "/healthz").status == 200);
+        CHECK(edge.call("GET", "/v1/lookup?service=lookups").status == 200);
+    }
+    for (const auto& caller : callers) {
+        REQUIRE(caller->wait_closed(edge.loop, ms(5000)));
+        check_error(caller->received, 408, "request_incomplete");
+    }
+    CHECK(edge.metric("persimmongrade_refusals_total{reason=\"request_incomplete\"}") == 200);
+    CHECK(edge.metric("persimmongrade_refusals_total{reason=\"idempotency_key_missing\"}") == 0);
+}
+
 TEST_CASE("malformed announcements are refused and change nothing") {
     edge_fixture edge;
     const std::string valid = R"({"id":"t1","service":"lookups","address":"127.0.0.1:9","region":"north","zone":"z",)";
--- a/tools/persimmonctl.cpp
+++ b/tools/persimmonctl.cpp
@@ -435,6 +435,7 @@
     {"answer_truncated", "The target's answer ended early and was not passed on. The request may have run."},
     {"answer_too_large", "The target's answer exceeds max_answer_bytes of the record."},
     {"request_too_large", "The body exceeds max_request_bytes of the record."},
+    {"request_incomplete", "A part of the request did not arrive within 10 s. It was not run."},
     // Faults of records
     {"syntax", "The record is not YAML."},
     {"too_large", "The record's text, or a list in it, exceeds its bound."},
