--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -178,9 +178,12 @@
 void watch_request(h2o_req_t* req) {
     server_connection& connection = server_connection::of(req);
     connection.begin_answer(req);
-    void* slot = h2o_mem_alloc_shared(&req->pool, sizeof(server_connection*),
-                                      [](void* memory) { (*static_cast<server_connection**>(memory))->end_answer(); });
-    *static_cast<server_connection**>(slot) = &connection;
+    struct watch {
+        server_connection& connection;
+    };
+    void* slot = h2o_mem_alloc_shared(&req->pool, sizeof(watch),
+                                      [](void* memory) { static_cast<watch*>(memory)->connection.end_answer(); });
+    new (slot) watch{connection};
 }
 
 // Replaces the body of an answer that h2o made itself.
