Start the processes of the edge test with the shared child_process

Cause: tests/edge/test_processes.cpp had a process starter of its own beside tests/support/child_process.h.

Change: the test uses child_process; output goes to a log file per process in the test's folder. The checks are the same: both planned stops must end with exit code 0 within 5 s each. They are waited for without running the test's own event loop, which has nothing to do then.

--- a/tests/edge/test_processes.cpp
+++ b/tests/edge/test_processes.cpp
@@ -1,66 +1,25 @@
 // Runs control, edges and targets as processes. The binaries are in the directory PERSIMMONGRADE_BIN.
 
-#include <spawn.h>
-#include <sys/wait.h>
-
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
+#include "../support/child_process.h"
 #include "edge_fixture.h"
 #include "persimmongrade/uuid.h"
 
-extern char** environ;
-
 using namespace persimmongrade;
 
 namespace {
 
-// One child process; killed by its id when it is still running at the end.
-class child {
-public:
-    explicit child(std::vector<std::string> arguments) {
-        std::vector<char*> pointers;
-        for (std::string& argument : arguments) {
-            pointers.push_back(argument.data());
-        }
-        pointers.push_back(nullptr);
-        REQUIRE(posix_spawn(&this->pid, pointers[0], nullptr, nullptr, pointers.data(), environ) == 0);
-    }
-    ~child() {
-        if (this->pid > 0) {
-            ::kill(this->pid, SIGKILL);
-            ::waitpid(this->pid, nullptr, 0);
-        }
-    }
-    child(child&& other) noexcept : pid(std::exchange(other.pid, 0)) {}
-    child(const child&) = delete;
-
-    void terminate() const { ::kill(this->pid, SIGTERM); }
-    bool exited(int& code) {
-        int status = 0;
-        bool ended = this->pid > 0 && ::waitpid(this->pid, &status, WNOHANG) == this->pid;
-        if (ended) {
-            this->pid = 0;
-            code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-        }
-        return ended;
-    }
-
-private:
-    pid_t pid = 0;
-};
-
 struct deployment {
-    std::string bin = std::getenv("PERSIMMONGRADE_BIN") ? std::getenv("PERSIMMONGRADE_BIN") : "build/bin";
     std::filesystem::path folder;
     event_loop loop;
     http_client client{loop};
     std::string peers;
     ip_address control_http = test_address(next_port());
     std::vector<ip_address> edges;
-    std::vector<child> processes;
+    std::vector<child_process> processes;
 
     deployment() {
         std::string pattern = (std::filesystem::temp_directory_path() / "edge-test-XXXXXX").string();
@@ -97,11 +56,11 @@
     void start(const std::string& program, const std::string& settings) {
         std::string file = (this->folder / (std::to_string(this->processes.size()) + ".yaml")).string();
         std::ofstream(file) << settings;
-        std::vector<std::string> arguments{this->bin + "/" + program, "--config", file};
+        std::vector<std::string> arguments{"--config", file};
         if (program != "persimmon-target") {
             arguments.push_back("--bootstrap");
         }
-        this->processes.emplace_back(std::move(arguments));
+        this->processes.emplace_back(program, arguments, file + ".log");
     }
 
     ip_address start_target(const std::string& id, const std::string& service) {
@@ -142,13 +101,6 @@
         REQUIRE(response.status == status);
         return response;
     }
-    int exit_code(child& process, duration longest) {
-        int code = -1;
-        for (time_point end = this->loop.now() + longest; !process.exited(code) && this->loop.now() < end;) {
-            this->loop.run_for(ms(20));
-        }
-        return code;
-    }
 };
 
 const std::string record = R"(
@@ -207,8 +159,8 @@
     CHECK(crashes == 2);
     run.until({run.edges[0], "GET", "/s/lookups/a"}, 200);
 
-    run.processes[4].terminate();  // order-1
-    run.processes[1].terminate();  // edge-north
-    CHECK(run.exit_code(run.processes[1], ms(5000)) == 0);
-    CHECK(run.exit_code(run.processes[4], ms(5000)) == 0);
+    run.processes[4].signal(SIGTERM);  // order-1
+    run.processes[1].signal(SIGTERM);  // edge-north
+    CHECK(run.processes[1].wait(std::chrono::seconds(5)) == 0);
+    CHECK(run.processes[4].wait(std::chrono::seconds(5)) == 0);
 }
