--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -8,6 +8,9 @@
 
 void start_logging(const char* program) {
     FLAGS_logtostderr = true;
+    if (google::IsGoogleLoggingInitialized()) {
+        return;  // a second call would end the process
+    }
     google::InitGoogleLogging(program);
 }
 
--- a/tools/persimmon-load.cpp
+++ b/tools/persimmon-load.cpp
@@ -1,28 +1,21 @@
 // persimmon-load: open-loop load on the entry hosts, with a report and a check against the targets' journals.
 
-#include <boost/program_options.hpp>
-
 #include <fstream>
 #include <iostream>
 
+#include "persimmongrade/command_line.h"
 #include "persimmongrade/load_generator.h"
 #include "persimmongrade/load_report.h"
-#include "persimmongrade/log.h"
 
 namespace options = boost::program_options;
 using namespace persimmongrade;
 
 namespace {
 
-constexpr int exit_ok = 0;
 constexpr int exit_violation = 1;
-constexpr int exit_usage = 2;
 
-options::options_description describe_options() {
-    options::options_description description("persimmon-load: open-loop load on the entry hosts");
+void describe(options::options_description& description) {
     auto add = description.add_options();
-    add("help", "print this text");
-    add("version", "print the version");
     add("edge", options::value<std::vector<std::string>>(), "HTTP address of an entry host; repeatable");
     add("control", options::value<std::vector<std::string>>(), "HTTP address of a control process; repeatable");
     add("stream", options::value<std::vector<std::string>>(),
@@ -38,7 +31,6 @@
     add("output", options::value<std::string>()->default_value("text"), "text or json");
     add("html", options::value<std::string>(), "also write an HTML report to this file");
     add("quiet", "no progress lines");
-    return description;
 }
 
 std::vector<ip_address> parse_addresses(const options::variables_map& values, const std::string& name) {
@@ -86,9 +78,9 @@
     return result;
 }
 
-int run(const options::variables_map& values) {
+int run(const options::variables_map& values, const load_options& given) {
     event_loop loop;
-    load_generator generator(loop, read_options(values));
+    load_generator generator(loop, given);
     load_observations observed = generator.run();
     std::vector<violation> violations;
     if (values.contains("journal")) {
@@ -101,31 +93,19 @@
     if (values.contains("html")) {
         std::ofstream(values["html"].as<std::string>()) << render_html(summary, violations);
     }
-    return violations.empty() ? exit_ok : exit_violation;
+    return violations.empty() ? exit_success : exit_violation;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-    start_logging(argv[0]);
-    try {
-        options::variables_map values;
-        options::options_description description = describe_options();
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.contains("help")) {
-            std::cout << description << "exit code 0: no violation, 1: a violation was found, 2: bad usage\n";
-            return exit_ok;
-        }
-        if (values.contains("version")) {
-            std::cout << "persimmon-load " << PERSIMMONGRADE_VERSION << "\n";
-            return exit_ok;
-        }
-        return run(values);
-    } catch (const options::error& failure) {
-        std::cerr << "persimmon-load: " << failure.what() << "\n";
-        return exit_usage;
-    } catch (const persimmongrade::error& failure) {
-        std::cerr << "persimmon-load: " << failure.what() << "\n";
-        return exit_usage;
-    }
+    program_definition program{.name = "persimmon-load",
+                               .usage = "persimmon-load: open-loop load on the entry hosts\n"
+                                        "Exit codes: 0 no violation, 1 a violation or a failure, 2 bad usage"};
+    describe(program.options);
+    program.prepare = [](const options::variables_map& values) {
+        load_options given = read_options(values);
+        return [values, given] { return run(values, given); };
+    };
+    return run_program(argc, argv, program);
 }
--- a/tools/persimmon-target.cpp
+++ b/tools/persimmon-target.cpp
@@ -15,7 +15,6 @@
 //     cold          number of following requests that take five times their service time
 // GET /journal-size answers with the number of executed requests.
 
-#include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
 
 #include <unistd.h>
@@ -24,8 +23,8 @@
 #include <charconv>
 #include <csignal>
 #include <fstream>
-#include <iostream>
 
+#include "persimmongrade/command_line.h"
 #include "persimmongrade/error.h"
 #include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
@@ -42,7 +41,6 @@
 constexpr duration drain_check_period = ms(50);
 constexpr std::size_t default_answer_bytes = 64;
 constexpr std::int64_t cold_factor = 5;
-constexpr int exit_bad_settings = 2;
 constexpr int exit_crash_fault = 70;
 
 std::int64_t number_header(const http_request& request, std::string_view name, std::int64_t fallback) {
@@ -385,34 +383,12 @@
 
 int main(int argc, char** argv) {
     using namespace persimmongrade;
-    namespace options = boost::program_options;
-    options::options_description description("persimmon-target: a target for tests");
-    description.add_options()("help", "print this text")("version", "print the version")(
-        "config", options::value<std::string>(), "settings file (YAML)")("check-config", "check the settings and exit");
-    try {
-        options::variables_map values;
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.contains("help")) {
-            std::cout << description;
-            return 0;
-        }
-        if (values.contains("version")) {
-            std::cout << "persimmon-target " << PERSIMMONGRADE_VERSION << "\n";
-            return 0;
-        }
-        if (!values.contains("config")) {
-            throw options::required_option("--config");
-        }
-        wire::target_settings_t settings = load_target_settings(values["config"].as<std::string>());
-        if (values.contains("check-config")) {
-            return 0;
-        }
-        start_logging(argv[0]);
-        return run(settings);
-    } catch (const options::error& reason) {
-        std::cerr << "persimmon-target: " << reason.what() << "\n";
-    } catch (const error& reason) {
-        std::cerr << "persimmon-target: " << reason.what() << "\n";
-    }
-    return exit_bad_settings;
+    program_definition program{.name = "persimmon-target",
+                               .usage = "persimmon-target: a target for tests",
+                               .config = config_content::settings};
+    program.prepare = [](const auto& values) {
+        auto settings = std::make_shared<const wire::target_settings_t>(load_target_settings(config_file(values)));
+        return [settings] { return run(*settings); };
+    };
+    return run_program(argc, argv, program);
 }
--- a/tools/persimmonctl.cpp
+++ b/tools/persimmonctl.cpp
@@ -7,9 +7,7 @@
 //   Commands
 //   Entry point
 
-#include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
-#include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <fstream>
@@ -18,7 +16,7 @@
 #include <random>
 #include <sstream>
 
-#include "persimmongrade/error.h"
+#include "persimmongrade/command_line.h"
 #include "persimmongrade/http_client.h"
 
 namespace {
@@ -37,12 +35,6 @@
 constexpr duration watch_call_timeout = ms(30000);
 constexpr std::size_t max_answer_bytes = 64u << 20;
 
-// Wrong arguments or unreadable input.
-class usage_error : public error {
-public:
-    using error::error;
-};
-
 struct options {
     std::vector<ip_address> control;
     bool as_json = false;
@@ -66,6 +58,7 @@
     "  status               show leader, edges, drains and what is in force\n"
     "  watch                follow changes of the configuration\n"
     "  explain ERROR        describe an error type; needs no --control\n"
+    "Keys of the settings file: the options, for example control, output and timeout_ms\n"
     "Exit codes: 0 done, 1 refused, 2 bad usage or input, 3 conflict, 4 unavailable, 5 outcome unknown\n";
 
 // A random id; resends within one call of the program use the same one.
@@ -513,134 +506,46 @@
     throw usage_error("unknown command, or an argument is missing: " + command + "\n" + usage_text);
 }
 
-// Settings file: {control: [ADDR, ...], output: text|json, timeout_ms: N}; options of the command line go first.
-// Throws settings_error.
-struct file_settings {
-    std::vector<std::string> control;
-    std::optional<std::string> output;
-    std::optional<std::uint32_t> timeout_ms;
-};
-
-void read_setting(file_settings& settings, const std::string& key, const YAML::Node& value) {
-    if (key == "control") {
-        for (const YAML::Node& item : value) {
-            settings.control.push_back(ip_address::parse(item.as<std::string>()).to_string());
-        }
-    } else if (key == "output") {
-        settings.output = value.as<std::string>();
-    } else if (key == "timeout_ms") {
-        settings.timeout_ms = value.as<std::uint32_t>();
-    } else {
-        throw usage_error("unknown key");
-    }
-}
-
-file_settings load_settings(const std::string& file) {
-    file_settings settings;
-    std::string key = "settings";
-    int line = 0;
-    try {
-        const YAML::Node root = YAML::LoadFile(file);
-        if (!root.IsMap()) {
-            throw usage_error("expected a mapping");
-        }
-        for (const auto& pair : root) {
-            key = pair.first.as<std::string>();
-            line = pair.first.Mark().line + 1;
-            read_setting(settings, key, pair.second);
-        }
-    } catch (const YAML::Exception& failure) {
-        throw settings_error(file + ":" + std::to_string(std::max(line, failure.mark.line + 1)), key, failure.msg);
-    } catch (const error& failure) {  // usage_error or address_error
-        throw settings_error(file + ":" + std::to_string(line), key, failure.what());
-    }
-    return settings;
-}
-
 options read_options(const po::variables_map& values) {
     options given;
-    file_settings settings;
-    if (values.count("config") > 0) {
-        settings = load_settings(values["config"].as<std::string>());
-    }
-    if (values.count("control") > 0) {
-        settings.control = values["control"].as<std::vector<std::string>>();
-    }
-    for (const std::string& address : settings.control) {
-        given.control.push_back(ip_address::parse(address));
+    if (values.contains("control")) {
+        for (const std::string& address : values["control"].as<std::vector<std::string>>()) {
+            given.control.push_back(ip_address::parse(address));
+        }
     }
-    bool use_file = values["output"].defaulted() && settings.output;
-    std::string output = use_file ? *settings.output : values["output"].as<std::string>();
+    std::string output = values["output"].as<std::string>();
     if (output != "text" && output != "json") {
         throw usage_error("--output is text or json");
     }
     given.as_json = output == "json";
-    given.wait = values.count("wait") > 0;
-    bool file_timeout = values["timeout-ms"].defaulted() && settings.timeout_ms;
-    given.timeout = ms(file_timeout ? *settings.timeout_ms : values["timeout-ms"].as<std::uint32_t>());
+    given.wait = values.contains("wait");
+    given.timeout = ms(values["timeout-ms"].as<std::uint32_t>());
     given.version = values["version-number"].as<std::uint64_t>();
     given.after = values["after"].as<std::uint64_t>();
     given.submission_id =
-        values.count("submission-id") > 0 ? values["submission-id"].as<std::string>() : make_submission_id();
-    if (values.count("command") > 0) {
-        given.words = values["command"].as<std::vector<std::string>>();
-    }
+        values.contains("submission-id") ? values["submission-id"].as<std::string>() : make_submission_id();
+    given.words = words(values);
     return given;
 }
 
-exit_code run_command_line(int argc, char** argv) {
-    po::options_description visible("Options");
-    auto add = visible.add_options();
-    add("help", "print this text and exit");
-    add("version", "print the version and exit");
-    add("config", po::value<std::string>(), "YAML settings file with the keys control, output and timeout_ms");
-    add("check-config", "check the settings and exit: 0 when they are valid, 2 when not");
-    add("control", po::value<std::vector<std::string>>()->composing(), "operator address of a control process");
+}  // namespace
+
+int main(int argc, char** argv) {
+    program_definition program{.name = "persimmonctl",
+                               .usage = usage_text,
+                               .takes_words = true,
+                               .failure_code = static_cast<int>(exit_code::unavailable)};
+    auto add = program.options.add_options();
+    add("control", po::value<std::vector<std::string>>(), "operator address of a control process; repeatable");
     add("output", po::value<std::string>()->default_value("text"), "text or json");
     add("wait", "return when the change is in force on every edge");
     add("timeout-ms", po::value<std::uint32_t>()->default_value(10000), "time for the whole call, --wait included");
     add("version-number", po::value<std::uint64_t>()->default_value(0), "withdraw: only this version of the record");
     add("after", po::value<std::uint64_t>()->default_value(0), "watch: changes after this revision");
     add("submission-id", po::value<std::string>(), "id of an earlier call whose outcome is unknown; default: random");
-    po::options_description all;
-    all.add(visible).add_options()("command", po::value<std::vector<std::string>>());
-    po::positional_options_description positions;
-    positions.add("command", -1);
-    po::variables_map values;
-    po::store(po::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
-    po::notify(values);
-    if (values.count("help") > 0) {
-        std::cout << usage_text << visible;
-        return exit_code::done;
-    }
-    if (values.count("version") > 0) {
-        std::cout << "persimmonctl " << PERSIMMONGRADE_VERSION << "\n";
-        return exit_code::done;
-    }
-    options given = read_options(values);
-    if (values.count("check-config") > 0) {
-        std::cout << "the settings are valid\n";
-        return exit_code::done;
-    }
-    return run(given);
-}
-
-}  // namespace
-
-int main(int argc, char** argv) {
-    try {
-        return static_cast<int>(run_command_line(argc, argv));
-    } catch (const po::error& failure) {
-        std::cerr << failure.what() << "\n";
-    } catch (const usage_error& failure) {
-        std::cerr << failure.what() << "\n";
-    } catch (const address_error& failure) {
-        std::cerr << failure.what() << "\n";
-    } catch (const settings_error& failure) {
-        std::cerr << failure.what() << "\n";
-    } catch (const std::exception& failure) {
-        std::cerr << "persimmonctl: " << failure.what() << "\n";
-        return static_cast<int>(exit_code::unavailable);
-    }
-    return static_cast<int>(exit_code::usage);
+    program.prepare = [](const auto& values) {
+        options given = read_options(values);
+        return [given] { return static_cast<int>(run(given)); };
+    };
+    return run_program(argc, argv, program);
 }
