--- a/src/control/server_state.h
+++ b/src/control/server_state.h
@@ -98,6 +98,7 @@
 
     // ---- Start and stop (control_server.cpp) ----
     impl(event_loop& loop, wire::control_settings_t given, const control_options& options);
+    http_server_options http_options(const control_options& given);
     static consensus_options log_options(const wire::control_settings_t& settings);
     static storage_options data_options(const wire::control_settings_t& settings, const control_options& options);
     void stop();
--- a/src/steering/shift_controller.cpp
+++ b/src/steering/shift_controller.cpp
@@ -98,8 +98,8 @@
             continue;
         }
         named.version = record->version;
-        for (const auto& block : record->client_blocks) {
-            named.regions.insert(block->region);
+        if (record->client_blocks) {
+            named.regions.insert(record->client_blocks->site_names.begin(), record->client_blocks->site_names.end());
         }
     }
 }
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -149,7 +149,8 @@
 
     // Starts `regions.size()` edges, one per region, and waits until all are ready. All traffic is assigned to north,
     // unless `assigned` is false.
-    explicit edge_fixture(const std::vector<std::string>& regions = {"north"}, bool assigned = true) {
+    explicit edge_fixture(const std::vector<std::string>& regions = {"north"}, bool assigned = true,
+                          duration request_timeout = ms(10000)) {
         this->control.add_service("lookups", true);
         this->control.add_service("orders", false);
         for (std::size_t i = 0; assigned && i < regions.size(); ++i) {
@@ -178,8 +179,9 @@
                 entry->edges.push_back(std::make_unique<wire::peer_settings_t>(*other));
             }
             this->metrics.push_back(std::make_unique<metric_registry>());
-            this->edges.push_back(std::make_unique<edge_server>(this->loop, *entry, *this->metrics.back(),
-                                                                edge_options{true, this->edges.size() + 1}));
+            this->edges.push_back(
+                std::make_unique<edge_server>(this->loop, *entry, *this->metrics.back(),
+                                              edge_options{true, this->edges.size() + 1, request_timeout}));
             this->settings.push_back(std::move(entry));
         }
         this->wait_until([&] {
