Report not_run for a key only with a claim

Change: key_from_future and key_reused come with `unknown`. key_reused stays `not_run` only when the refusing attempt holds the majority itself. A request of an idempotent service that carries a key never gets `not_run`. idempotency_key_invalid gets `none`, as other bad input does. The default outcome of `refusal` is `unknown`. Checked and already right: request_too_large, unknown_service, bad_request, method_not_allowed and rejections by the HTTP server (`none`); no_target, shift_limit, limits, quarantined and configuration_lease_expired (after the claim); `stopping` and `not_ready` are not sent by an edge in this revision.

Tests: the check in "keys outside the accepted time are refused with a true outcome" that key_from_future is `not_run` was wrong: it required the false refusal that the new test with two clocks shows. It now requires `unknown`.

--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -17,7 +17,8 @@
 // Outcomes. `not_run` is a statement about the key, not about one attempt: an earlier send of the same key may have
 // run through another edge. Only an attempt that holds a majority of the replicas can state it, so an edge must call
 // begin() before it refuses a non-idempotent request as not_run for any reason, and must report `unknown` otherwise.
-// For the same reason claim_quorum_unavailable and deadline_exceeded come with `unknown`.
+// For the same reason claim_quorum_unavailable and deadline_exceeded come with `unknown`, and so does key_reused unless
+// the refusing attempt holds the majority.
 //
 // After not_dispatched() no request that began earlier can run: its refusal (claim_conflict, not_run) carries a retry
 // hint, since a resend that begins later can.
@@ -250,8 +251,8 @@
 public:
     ledger_coordinator(ledger_coordinator_options options, ledger_members members);
 
-    // Starts an attempt, or joins the running one. Refuses at once: idempotency_key_invalid, key_expired (outcome
-    // unknown), key_from_future (not_run), key_reused.
+    // Starts an attempt, or joins the running one. Refuses at once: idempotency_key_invalid (outcome none),
+    // key_expired, key_from_future and key_reused (unknown: another edge may have accepted the key).
     ledger_actions begin(time_point now, const ledger_request& request);
 
     // Handles claim_reply, attempt_query and attempt_status from edge `from`; others are ignored.
@@ -328,7 +329,7 @@
     bool settled_by(time_point now, const active& attempt, const wire::ledger_entry_t& entry, ledger_actions& out);
     void note_conflict(time_point now, active& attempt, vote& from, const wire::ledger_entry_t& entry,
                        ledger_actions& out) const;
-    void refuse_reused(time_point now, const active& attempt, wire::outcome outcome, ledger_actions& out);
+    void refuse_reused(time_point now, const active& attempt, ledger_actions& out);
     void on_query(time_point now, const std::string& from, const wire::attempt_query_t& query,
                   ledger_actions& out) const;
     void on_status(time_point now, const std::string& from, const wire::attempt_status_t& status, ledger_actions& out);
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -52,7 +52,8 @@
     try {
         return parse_uuid_v7(*text);
     } catch (const uuid_error&) {
-        throw refused_error({wire::refusal_reason::idempotency_key_invalid, wire::outcome::not_run,
+        // An edge with another revision of the record may have run it without a claim.
+        throw refused_error({wire::refusal_reason::idempotency_key_invalid, wire::outcome::none,
                              "Idempotency-Key: expected a UUID version 7"});
     }
 }
@@ -101,13 +102,18 @@
 
 void forwarder::forward(execution_order order, const std::shared_ptr<http_exchange>& exchange) {
     time_point started = this->edge.loop.now();
-    auto done = [this, exchange, started, name = order.service->name](execution_result result) {
+    bool has_key = order.request.header("idempotency-key").has_value();
+    auto done = [this, exchange, started, has_key, name = order.service->name](execution_result result) {
         exchange->on_close(nullptr);
         this->edge.meter.ended(name, this->edge.loop.now() - started);
         if (result.response) {
             exchange->respond(std::move(*result.response));
             return;
         }
+        // An edge with another revision of the record may have run the key with a claim, which this edge does not see.
+        if (has_key && result.refused.outcome == wire::outcome::not_run) {
+            result.refused.outcome = wire::outcome::unknown;
+        }
         this->edge.refuse(*exchange, result.refused);
     };
     auto run = std::make_shared<execution>(this->edge, std::move(order), done);
--- a/src/edge/refusal.h
+++ b/src/edge/refusal.h
@@ -14,7 +14,7 @@
 
 struct refusal {
     wire::refusal_reason reason = wire::refusal_reason::none;
-    wire::outcome outcome = wire::outcome::not_run;
+    wire::outcome outcome = wire::outcome::unknown;  // not_run only with a proof
     std::string message;
     duration retry_after{};  // zero: no hint
 
--- a/src/request/ledger_coordinator.cpp
+++ b/src/request/ledger_coordinator.cpp
@@ -61,14 +61,14 @@
     try {
         key_time = uuid_v7_time_ms(request.key);
     } catch (const uuid_error&) {
-        return refuse(wire::refusal_reason::idempotency_key_invalid, wire::outcome::not_run);
+        return refuse(wire::refusal_reason::idempotency_key_invalid, wire::outcome::none);
     }
     std::int64_t age = now.time_since_epoch().count() + this->options.unix_offset_ms - key_time;
     if (age > ledger_max_key_age.count()) {
         return refuse(wire::refusal_reason::key_expired, wire::outcome::unknown);
     }
     if (age < -ledger_max_key_future.count()) {
-        return refuse(wire::refusal_reason::key_from_future, wire::outcome::not_run);
+        return refuse(wire::refusal_reason::key_from_future, wire::outcome::unknown);
     }
     if (now >= request.deadline) {
         return refuse(wire::refusal_reason::deadline_exceeded, wire::outcome::unknown);
@@ -76,8 +76,7 @@
     auto [position, added] = this->active_by_key.try_emplace(request.key);
     auto& attempt = position->second;
     if (!added && (attempt.fingerprint != request.fingerprint || attempt.service != request.service)) {
-        bool held = attempt.state == phase::dispatched;  // the other content holds the key and may have run
-        return refuse(wire::refusal_reason::key_reused, held ? wire::outcome::not_run : wire::outcome::unknown);
+        return refuse(wire::refusal_reason::key_reused, wire::outcome::unknown);
     }
     attempt.waiters.push_back({request.request, request.deadline});
     if (!added) {
@@ -205,8 +204,7 @@
         return false;
     }
     if (entry.fingerprint != attempt.fingerprint) {
-        // The other content held a majority when it was dispatched, so this one never ran and never will.
-        this->refuse_reused(now, attempt, wire::outcome::not_run, out);
+        this->refuse_reused(now, attempt, out);
         return true;
     }
     this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
@@ -233,10 +231,10 @@
     }
 }
 
-void ledger_coordinator::refuse_reused(time_point now, const active& attempt, wire::outcome outcome,
-                                       ledger_actions& out) {
+// The outcome is `unknown`, because `not_run` is a statement about the key and the other content may have run.
+void ledger_coordinator::refuse_reused(time_point now, const active& attempt, ledger_actions& out) {
     this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
-    this->refuse_all(attempt, wire::refusal_reason::key_reused, outcome, out);
+    this->refuse_all(attempt, wire::refusal_reason::key_reused, wire::outcome::unknown, out);
 }
 
 void ledger_coordinator::evaluate(time_point now, active& attempt, ledger_actions& out) {
@@ -386,8 +384,7 @@
     }
     attempt.heard_at = now;
     if (other_content && status.state != wire::attempt_state::aborted) {
-        bool ran = status.state == wire::attempt_state::completed;
-        this->refuse_reused(now, attempt, ran ? wire::outcome::not_run : wire::outcome::unknown, out);
+        this->refuse_reused(now, attempt, out);
     } else if (status.state == wire::attempt_state::completed && status.answer != nullptr) {
         this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
         this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*status.answer), out);
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -147,6 +147,45 @@
     CHECK(edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, "lamp").body == "booking 1");
 }
 
+// Guards R4: only a claim proves not_run. While a record changes, one edge may run a key without a claim, or hold one
+// that the other edge does not ask for.
+TEST_CASE("a refusal without a claim makes no statement about the key") {
+    edge_fixture edge({"north", "central", "south"});
+    counting_target target(edge.loop);
+    edge.announce("t1", "orders", target.address);
+    auto book = [&](const std::string& key, std::size_t through) {
+        return edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, "lamp", through).body;
+    };
+    auto set_idempotent = [&](bool idempotent) {
+        edge.control.configuration.records.front()->services.back()->idempotent = idempotent;
+        edge.control.commit();
+        edge.loop.run_for(ms(400));
+    };
+    std::string key = make_uuid_v7(unix_time_ms());
+    CHECK(book(key, 0) == "booking 1");
+    set_idempotent(true);
+    CHECK(book("order-17", 0) == "booking 2");
+    edge.control.drain("t1");
+    edge.loop.run_for(ms(400));
+    std::string refused = book(key, 1);
+    CHECK(refused.find(R"("error":"no_target")") != std::string::npos);
+    CHECK(refused.find("not_run") == std::string::npos);
+    set_idempotent(false);
+    refused = book("order-17", 1);
+    CHECK(refused.find(R"("error":"idempotency_key_invalid")") != std::string::npos);
+    CHECK(refused.find("not_run") == std::string::npos);
+    for (const char* header : {"persimmon-deadline-ms", "x-long"}) {
+        std::string value = header[0] == 'x' ? std::string(20000, 'a') : "soon";
+        refused = edge.call("POST", "/s/orders/a", {{"idempotency-key", key}, {header, value}}, "lamp", 1).body;
+        CHECK(refused.find(R"("outcome":"none")") != std::string::npos);
+    }
+    for (const std::string& path : {std::string("/s/none/a"), std::string("/s/orders/a")}) {
+        std::string body = path == "/s/none/a" ? "lamp" : std::string(70000, 'a');
+        refused = edge.call("POST", path, {{"idempotency-key", key}}, body, 1).body;
+        CHECK(refused.find(R"("outcome":"none")") != std::string::npos);
+    }
+}
+
 // Guards R5: only an attempt that provably did not run is repeated for a non-idempotent request.
 TEST_CASE("a shed or unconnected attempt moves to another target, a lost one does not") {
     edge_fixture edge({"north", "central", "south"});
--- a/tests/request/ledger_histories.cpp
+++ b/tests/request/ledger_histories.cpp
@@ -340,7 +340,7 @@
                                            static_cast<std::size_t>(run - this->runs.data()))) {
                 return "replayed answer does not belong to the request: " + body;
             }
-        } else if (final.outcome == wire::outcome::not_run && same &&
+        } else if (final.outcome == wire::outcome::not_run && run != nullptr &&
                    this->requests.at(run->request).begun < request.ended) {
             return "not_run is false: " + std::string(wire::EnumNamerefusal_reason(final.reason)) + " for " +
                    request.key;
--- a/tests/request/test_ledger_rules.cpp
+++ b/tests/request/test_ledger_rules.cpp
@@ -196,8 +196,29 @@
     CHECK(expired.outcome == wire::outcome::unknown);
     auto future = refusal(key_at(start + ledger_max_key_future + ms(1)));
     CHECK(future.reason == wire::refusal_reason::key_from_future);
-    CHECK(future.outcome == wire::outcome::not_run);
+    CHECK(future.outcome == wire::outcome::unknown);
     CHECK(refusal("order-17").reason == wire::refusal_reason::idempotency_key_invalid);
+    CHECK(refusal("order-17").outcome == wire::outcome::none);
+}
+
+// Guards R4: an edge whose clock is behind refused the key as not run after the other one had run it.
+TEST_CASE("a key that another edge's clock accepts is not refused as not_run", "[ledger]") {
+    ledger_coordinator behind({"a1", 1, unix_offset}, three);
+    ledger_coordinator ahead({"b1", 1, unix_offset + 30'000}, three);
+    std::string key = key_at(start + ledger_max_key_future + ms(10'000));
+    auto begun = ahead.begin(start, {1, key, "crew", 1, start + ms(2000)});
+    for (const auto& message : begun.messages) {
+        auto replica = replica_of(message.to, three, true);
+        auto reply = replica.receive(start, "b1", message.body).at(0);
+        begun.outcomes = ahead.receive(start, message.to, reply.body).outcomes;
+        if (dispatches(begun)) {
+            break;
+        }
+    }
+    REQUIRE(dispatches(begun));
+    auto refused = behind.begin(start + ms(100), {1, key, "crew", 1, start + ms(2000)}).outcomes.at(0);
+    CHECK(refused.reason == wire::refusal_reason::key_from_future);
+    CHECK(refused.outcome == wire::outcome::unknown);
 }
 
 TEST_CASE("UUID version 7 texts keep their time and others are refused", "[uuid]") {
--- a/tools/persimmonctl.cpp
+++ b/tools/persimmonctl.cpp
@@ -411,8 +411,10 @@
     {"idempotency_key_missing", "The service is not idempotent: each request needs an Idempotency-Key header."},
     {"idempotency_key_invalid", "The Idempotency-Key is not a UUID version 7."},
     {"key_expired", "The key is older than 15 minutes, so that its result may be forgotten. It may have run."},
-    {"key_from_future", "The key's time is more than 1 minute ahead. Check the caller's clock."},
-    {"key_reused", "The key was used with another method, path or body. Each booking needs a key of its own."},
+    {"key_from_future", "The key's time is more than 1 minute ahead. An edge whose clock differs may have "
+                        "accepted it. Check the clocks."},
+    {"key_reused", "The key was used with another method, path or body, which may have run. Each booking needs a "
+                   "key of its own."},
     {"region_limit", "The region's limit is used up, or the edge holds too small a share of it. Wait, or raise "
                      "max_requests_per_second in the record."},
     {"link_limit", "A link between regions is at its limit. Wait, or raise max_mbit_per_second in the record."},
