Keep the last refusal of each edge, so that none hides a later one

Cause: a replica kept only the latest `not_run` refusal of a key, by the time at which its report arrived. A report that arrives late looks like a later refusal. The owner of that refusal knows its exact time and ignored it, and so missed a refusal by another edge that lay between: it dispatched the key after the other edge's caller had been told `not_run`.

Change: a replica keeps the last refusal of each owner (edge and incarnation), with the earliest time reported for an attempt. It shows a claimant the latest refusal by another owner; refusals by the claimant itself came before its attempt began. Copies after a restart carry one entry for each refusal. No message changes. A claim reply of an earlier incarnation of a replica than one heard of before no longer counts.

--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -170,9 +170,10 @@
     std::size_t answer_bytes() const noexcept;  // held in bodies of stored answers
 
 private:
+    using owner = std::pair<std::string, std::uint64_t>;  // edge and its incarnation
     struct refusal {
-        ledger_attempt attempt;
-        time_point at;
+        std::uint64_t number = 0;  // of the attempt
+        time_point at;             // never too early
     };
     struct claim {
         ledger_attempt attempt;
@@ -186,7 +187,7 @@
         std::optional<ledger_attempt> aborted;                // last aborted attempt
         std::optional<claim> decided;                         // attempt that completed or whose outcome is lost
         std::shared_ptr<const wire::stored_answer_t> answer;  // null while `decided` is uncertain
-        std::optional<refusal> refused;
+        std::map<owner, refusal> refused;                     // last not_run refusal by each owner of attempts
     };
     struct copy_progress {
         std::uint64_t request_id = 0;   // of the page asked for; 0: none
@@ -206,11 +207,15 @@
     entry* find_or_add(time_point now, const std::string& key);
     static wire::claim_result decide_claim(const claim& wanted, const entry& found);
     void decide(entry& found, const claim& attempt, std::shared_ptr<const wire::stored_answer_t> answer);
+    static void note_refusal(time_point now, entry& found, const ledger_attempt& by, std::int64_t ms_ago);
+    static void show_refusal(time_point now, const entry& value, const ledger_attempt& reader,
+                             wire::ledger_entry_t& shown);
     void merge(time_point now, const wire::ledger_entry_t& incoming);
     void plan_copy();
     void request_page(time_point now, const std::string& peer, copy_progress& progress,
                       std::vector<ledger_message>& out);
-    std::vector<wire::ledger_entry_t> to_wire(time_point now, const std::string& key, const entry& value) const;
+    static std::vector<wire::ledger_entry_t> to_wire(const std::string& key, const entry& value);
+    static std::vector<wire::ledger_entry_t> copies_of(time_point now, const std::string& key, const entry& value);
     void expire(time_point now);
     std::int64_t unix_ms(time_point now) const noexcept;
 
@@ -354,7 +359,7 @@
     bool expire_waiters(time_point now, active& attempt, ledger_actions& out);
     void tick_finished(time_point now, ledger_actions& out);
     active* dispatched(std::uint64_t attempt);
-    time_point refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const;
+    std::optional<time_point> refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const;
     ledger_attempt id_of(std::uint64_t number) const;
 
     ledger_coordinator_options options;
--- a/src/request/ledger_coordinator.cpp
+++ b/src/request/ledger_coordinator.cpp
@@ -170,8 +170,11 @@
         return;
     }
     auto& from_vote = found->second;
+    if (from_vote.replied && reply.incarnation < from_vote.incarnation) {
+        return;  // of a replica that has restarted since and forgot the claim
+    }
     if (from_vote.replied && from_vote.incarnation != reply.incarnation) {
-        from_vote.granted = false;  // the replica restarted and forgot the claim
+        from_vote.granted = false;
     }
     if (from_vote.granted) {
         return;
@@ -266,9 +269,7 @@
 void ledger_coordinator::dispatch_or_refuse(time_point now, active& attempt, ledger_actions& out) {
     auto refused_at = attempt.refused_at;
     for (const auto& [replica, vote] : attempt.votes) {
-        if (vote.granted && vote.refused_at) {
-            refused_at = std::max(refused_at.value_or(*vote.refused_at), *vote.refused_at);
-        }
+        refused_at = vote.granted ? std::max(refused_at, vote.refused_at) : refused_at;
     }
     // A caller was told not_run after this request began. Running it now would make that statement false.
     bool told_not_run = refused_at && *refused_at >= attempt.begun_at;
@@ -285,13 +286,12 @@
     out.outcomes.push_back(std::move(outcome));
 }
 
-// Latest time, on the own clock, at which the refusal can have been given.
-time_point ledger_coordinator::refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const {
+// Latest time, on the own clock, at which the refusal can have been given. Own refusals of a key came before its active
+// attempt began.
+std::optional<time_point> ledger_coordinator::refusal_time(time_point now, const ledger_attempt& by,
+                                                           std::int64_t ms_ago) const {
     if (by.edge == this->options.edge && by.incarnation == this->options.incarnation) {
-        auto own = this->finished_by_number.find(by.number);
-        if (own != this->finished_by_number.end() && own->second.refused_at) {
-            return *own->second.refused_at;
-        }
+        return std::nullopt;
     }
     auto shortest = static_cast<std::int64_t>(static_cast<double>(ms_ago) * (1.0 - clock_rate_margin));
     return now - ms(std::max<std::int64_t>(0, shortest - clock_fixed_margin.count()));
@@ -402,8 +402,8 @@
                                           ledger_actions& out) {
     auto rival = from_wire(*status.attempt);
     if (status.refused_ms_ago >= 0) {
-        auto refused_at = this->refusal_time(now, rival, status.refused_ms_ago);
-        attempt.refused_at = std::max(attempt.refused_at.value_or(refused_at), refused_at);
+        // std::optional orders nothing before every time.
+        attempt.refused_at = std::max(attempt.refused_at, this->refusal_time(now, rival, status.refused_ms_ago));
     }
     for (auto& [replica, vote] : attempt.votes) {
         if (attempt.state == phase::claiming && vote.conflict != rival) {
--- a/src/request/ledger_replica.cpp
+++ b/src/request/ledger_replica.cpp
@@ -209,7 +209,7 @@
         }
     }
     if (found != nullptr) {
-        auto entries = this->to_wire(now, key, *found);
+        auto entries = to_wire(key, *found);
         auto other = std::find_if(entries.begin(), entries.end(), [&](const wire::ledger_entry_t& entry) {
             return from_wire(*entry.attempt) != wanted.attempt;
         });
@@ -217,6 +217,7 @@
         if (reply.result == wire::claim_result::granted) {
             shown.fingerprint = found->fingerprint;
         }
+        show_refusal(now, *found, wanted.attempt, shown);
         reply.entry = std::make_unique<wire::ledger_entry_t>(shown);
     }
     return {{from, std::move(reply)}};
@@ -271,28 +272,48 @@
     if (found != nullptr && !(found->decided && found->decided->attempt == attempt)) {
         std::erase_if(found->claims, [&](const claim& held) { return held.attempt == attempt; });
         found->aborted = attempt;
-        if (request.refused_ms_ago >= 0) {
-            refusal reported{attempt, now - ms(request.refused_ms_ago)};
-            if (!found->refused || found->refused->at < reported.at) {
-                found->refused = reported;
-            }
-        }
+        note_refusal(now, *found, attempt, request.refused_ms_ago);
     }
     return {{from, confirmation(request.key, *request.attempt, wire::attempt_state::aborted)}};
 }
 
+// A report is late by the time that its message took, so that the earliest one of an attempt is the most exact. A later
+// attempt of the same owner was refused later.
+void ledger_replica::note_refusal(time_point now, entry& found, const ledger_attempt& by, std::int64_t ms_ago) {
+    if (ms_ago < 0) {
+        return;
+    }
+    refusal reported{by.number, now - ms(ms_ago)};
+    auto [known, added] = found.refused.try_emplace({by.edge, by.incarnation}, reported);
+    if (!added && known->second.number == by.number) {
+        known->second.at = std::min(known->second.at, reported.at);
+    } else if (known->second.number < by.number) {
+        known->second = reported;
+    }
+}
+
+// Shows the latest refusal that the reader does not know: those of its own attempts came before it began this one.
+// Without this distinction, a late report of an own refusal hides a later refusal by another edge.
+void ledger_replica::show_refusal(time_point now, const entry& value, const ledger_attempt& reader,
+                                  wire::ledger_entry_t& shown) {
+    std::optional<time_point> latest;
+    for (const auto& [by, last] : value.refused) {
+        bool own = by.first == reader.edge && by.second == reader.incarnation;
+        if (!own && (!latest || *latest < last.at)) {
+            latest = last.at;
+            shown.refused_by = persimmongrade::to_wire(ledger_attempt{by.first, by.second, last.number});
+            shown.refused_ms_ago = (now - last.at).count();
+        }
+    }
+}
+
 // One entry for each live claim; one when there is none.
-std::vector<wire::ledger_entry_t> ledger_replica::to_wire(time_point now, const std::string& key,
-                                                          const entry& value) const {
+std::vector<wire::ledger_entry_t> ledger_replica::to_wire(const std::string& key, const entry& value) {
     wire::ledger_entry_t common;
     common.key = key;
     common.service = value.service;
     common.fingerprint = value.fingerprint;
     common.key_time_ms = value.key_time_ms;
-    if (value.refused) {
-        common.refused_by = persimmongrade::to_wire(value.refused->attempt);
-        common.refused_ms_ago = (now - value.refused->at).count();
-    }
     std::vector<wire::ledger_entry_t> all;
     auto add = [&](const ledger_attempt& attempt, std::uint64_t fingerprint, wire::ledger_state state) {
         all.push_back(common);
@@ -341,7 +362,7 @@
             reply.done = false;
             break;
         }
-        for (auto& entry : this->to_wire(now, key, value)) {
+        for (auto& entry : copies_of(now, key, value)) {
             reply.entries.push_back(std::make_unique<wire::ledger_entry_t>(std::move(entry)));
         }
         bytes += value.answer == nullptr ? 0 : value.answer->body.size();
@@ -350,6 +371,22 @@
     return {{request.replica, std::move(reply)}};
 }
 
+// The entries of the key, repeated so that there is one for each refusal.
+std::vector<wire::ledger_entry_t> ledger_replica::copies_of(time_point now, const std::string& key,
+                                                            const entry& value) {
+    auto copies = to_wire(key, value);
+    while (copies.size() < value.refused.size()) {
+        copies.push_back(copies.front());
+    }
+    std::size_t at = 0;
+    for (const auto& [by, last] : value.refused) {
+        copies[at].refused_by = persimmongrade::to_wire(ledger_attempt{by.first, by.second, last.number});
+        copies[at].refused_ms_ago = (now - last.at).count();
+        ++at;
+    }
+    return copies;
+}
+
 std::vector<ledger_message> ledger_replica::on_sync_reply(time_point now, const wire::ledger_sync_reply_t& reply) {
     // A reply to a request of an earlier incarnation may lack claims that were made since.
     if (reply.requester_incarnation != this->options.incarnation) {
@@ -411,11 +448,8 @@
         found->service = incoming.service;
         found->fingerprint = incoming.fingerprint;
     }
-    if (incoming.refused_by != nullptr && incoming.refused_ms_ago >= 0) {
-        refusal reported{from_wire(*incoming.refused_by), now - ms(incoming.refused_ms_ago)};
-        if (!found->refused || found->refused->at < reported.at) {
-            found->refused = reported;
-        }
+    if (incoming.refused_by != nullptr) {
+        note_refusal(now, *found, from_wire(*incoming.refused_by), incoming.refused_ms_ago);
     }
     if (incoming.state == wire::ledger_state::completed || incoming.state == wire::ledger_state::uncertain) {
         this->decide(*found, attempt,
--- a/tests/request/test_ledger_rules.cpp
+++ b/tests/request/test_ledger_rules.cpp
@@ -221,6 +221,52 @@
     CHECK(refused.outcome == wire::outcome::unknown);
 }
 
+// Found by a generated history: b1's report of its own refusal arrived late, and hid a refusal by a1 that came after
+// it. b1 knew that its own refusal was old, and ran the key although a1's caller had been told not_run.
+TEST_CASE("a late report of a refusal does not hide a later refusal by another edge", "[ledger]") {
+    auto replica = replica_of("c1", three, true);
+    std::string key = key_at(start);
+    auto abort = [&](time_point now, const std::string& edge, std::int64_t refused_ms_ago) {
+        wire::abort_request_t request;
+        request.key = key;
+        request.attempt = std::make_unique<wire::attempt_id_t>();
+        request.attempt->edge = edge;
+        request.attempt->number = 1;
+        request.refused_ms_ago = refused_ms_ago;
+        replica.receive(now, edge, request);
+    };
+    abort(start + ms(200), "a1", 0);
+    abort(start + ms(300), "b1", 0);    // 200 ms late
+    abort(start + ms(350), "b1", 250);  // sent again
+    auto copy = replica_of("b1", three, false);
+    auto now = start + ledger_settle_time;
+    auto page = copy.tick(now);
+    auto request = std::find_if(page.begin(), page.end(), [](const auto& message) { return message.to == "c1"; });
+    REQUIRE(request != page.end());
+    copy.receive(now, "c1", replica.receive(now, "b1", request->body).at(0).body);
+    for (auto* holder : {&replica, &copy}) {
+        auto replies = holder->receive(now, "b1", claim_of(key, "b1", 2));
+        const auto& reply = std::get<wire::claim_reply_t>(replies.at(0).body);
+        REQUIRE(reply.entry != nullptr);
+        REQUIRE(reply.entry->refused_by != nullptr);
+        CHECK(reply.entry->refused_by->edge == "a1");
+        CHECK(reply.entry->refused_ms_ago == (now - start).count() - 200);
+    }
+}
+
+// Guards R5: a grant of a replica that restarted in between is forgotten there.
+TEST_CASE("a late grant of an earlier incarnation of the replica does not count", "[ledger]") {
+    auto coordinator = coordinator_with(three);
+    auto begun = coordinator.begin(start, {1, key_at(start), "crew", 1, start + ms(2000)});
+    auto restarted = grant(begun.messages[1]);
+    restarted.incarnation = 2;
+    restarted.result = wire::claim_result::not_voting;
+    coordinator.receive(start + ms(1), begun.messages[1].to, restarted);
+    CHECK_FALSE(dispatches(coordinator.receive(start + ms(2), begun.messages[0].to, grant(begun.messages[0]))));
+    CHECK_FALSE(dispatches(coordinator.receive(start + ms(3), begun.messages[1].to, grant(begun.messages[1]))));
+    CHECK(dispatches(coordinator.receive(start + ms(4), begun.messages[2].to, grant(begun.messages[2]))));
+}
+
 TEST_CASE("UUID version 7 texts keep their time and others are refused", "[uuid]") {
     std::mt19937_64 random(1);
     for (std::int64_t time : {std::int64_t{0}, std::int64_t{1}, unix_offset, (std::int64_t{1} << 48) - 1}) {
