Choose three regions for the replicas of a key when there are more

With more than three regions, a key had one replica in every region: with 5 regions, a claim needed 3 of 5 replies, and each answer was stored 5 times.

Change: a rendezvous hash with another seed than that of the edges chooses the three regions; one edge in each is chosen as before. Claims, majorities, copying and voting use `sets_of` and follow. `ledger_members::hash` no longer depends on the order of the list in the settings, and differs from that of a version which keeps a replica in every region, so that the two do not copy from each other.

The test of the histories runs them for both numbers of regions; no check changed.

--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -118,7 +118,10 @@
 
 // ---- 2. Replica sets ----
 
-// Members of the replica set of a key: one edge per region by rendezvous hash (XXH64), in order of region.
+inline constexpr std::size_t ledger_replicas = 3;  // of a key, fewer when there are fewer regions
+
+// Members of the replica set of a key, in order of region: one edge in each of three regions, so that no region holds a
+// majority. Rendezvous hashes (XXH64) choose the regions, if there are more than three, and the edge in each.
 std::vector<std::string> replica_set(std::string_view key, const std::vector<ledger_member>& members);
 
 // Members before and after a change. `previous` is empty when no change is in progress.
@@ -131,7 +134,7 @@
 
     std::vector<std::vector<std::string>> sets_of(std::string_view key) const;  // one or two sets
     std::set<std::string> all_of(std::string_view key) const;                   // their union
-    std::uint64_t hash() const;                                                 // equal members, equal hash
+    std::uint64_t hash() const;                                                 // equal for equal sets of every key
 
     bool operator==(const ledger_members&) const = default;
 };
--- a/src/request/replica_set.cpp
+++ b/src/request/replica_set.cpp
@@ -3,29 +3,69 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <optional>
 
 #include "persimmongrade/ledger.h"
 
 namespace persimmongrade {
 
-std::vector<std::string> replica_set(std::string_view key, const std::vector<ledger_member>& members) {
-    struct choice {
-        XXH64_hash_t weight = 0;
-        const std::string* edge = nullptr;
-    };
-    XXH64_hash_t key_hash = XXH64(key.data(), key.size(), 0);
-    std::map<std::string_view, choice> by_region;
+namespace {
+
+// Chooses regions with another hash than edges, so that an edge named like its region does not bias the choice.
+constexpr XXH64_hash_t region_seed = 1;
+
+struct weighted {
+    XXH64_hash_t weight = 0;
+    std::string_view name;
+
+    // Heaviest first; names decide between equal weights.
+    bool operator<(const weighted& other) const {
+        return this->weight != other.weight ? this->weight > other.weight : this->name < other.name;
+    }
+};
+
+weighted weigh(std::string_view name, XXH64_hash_t key_hash) {
+    return {XXH64(name.data(), name.size(), key_hash), name};
+}
+
+// The regions that hold the key, sorted by name.
+std::vector<std::string_view> regions_of(std::string_view key, const std::vector<ledger_member>& members) {
+    std::set<std::string_view> all;
     for (const auto& member : members) {
-        choice candidate{XXH64(member.edge.data(), member.edge.size(), key_hash), &member.edge};
-        auto& best = by_region[member.region];
-        bool better = best.edge == nullptr || candidate.weight > best.weight ||
-                      (candidate.weight == best.weight && *candidate.edge < *best.edge);
-        best = better ? candidate : best;
+        all.insert(member.region);
+    }
+    if (all.size() <= ledger_replicas) {
+        return {all.begin(), all.end()};
     }
+    XXH64_hash_t key_hash = XXH64(key.data(), key.size(), region_seed);
+    std::vector<weighted> candidates;
+    candidates.reserve(all.size());
+    for (std::string_view region : all) {
+        candidates.push_back(weigh(region, key_hash));
+    }
+    std::partial_sort(candidates.begin(), candidates.begin() + ledger_replicas, candidates.end());
+    std::vector<std::string_view> chosen;
+    for (std::size_t i = 0; i < ledger_replicas; ++i) {
+        chosen.push_back(candidates[i].name);
+    }
+    std::sort(chosen.begin(), chosen.end());
+    return chosen;
+}
+
+}  // namespace
+
+std::vector<std::string> replica_set(std::string_view key, const std::vector<ledger_member>& members) {
+    XXH64_hash_t key_hash = XXH64(key.data(), key.size(), 0);
     std::vector<std::string> edges;
-    edges.reserve(by_region.size());
-    for (const auto& [region, best] : by_region) {
-        edges.push_back(*best.edge);
+    for (std::string_view region : regions_of(key, members)) {
+        std::optional<weighted> best;
+        for (const auto& member : members) {
+            if (member.region == region) {
+                auto candidate = weigh(member.edge, key_hash);
+                best = best && *best < candidate ? best : candidate;
+            }
+        }
+        edges.emplace_back(best->name);
     }
     return edges;
 }
@@ -52,10 +92,17 @@
 std::uint64_t ledger_members::hash() const {
     std::string text;
     for (const auto* list : {&this->current, &this->previous}) {
+        std::set<std::pair<std::string_view, std::string_view>> sorted;  // the order in the settings does not matter
+        std::set<std::string_view> regions;
         for (const auto& member : *list) {
-            text += member.edge + ' ' + member.region + ' ';
+            sorted.emplace(member.edge, member.region);
+            regions.insert(member.region);
+        }
+        for (const auto& [edge, region] : sorted) {
+            text += std::string(edge) + ' ' + std::string(region) + ' ';
         }
-        text += '\n';
+        // An edge that keeps one replica in every region must not serve copies to one that keeps three replicas.
+        text += regions.size() > ledger_replicas ? "3 regions\n" : "\n";
     }
     return XXH64(text.data(), text.size(), 0);
 }
--- a/tests/request/ledger_histories.cpp
+++ b/tests/request/ledger_histories.cpp
@@ -2,21 +2,24 @@
 
 namespace persimmongrade::test {
 
-simulation::simulation(const history& plan) : plan(plan), random(plan.seed), edges(all_edges.size()), side(7, 0) {
+simulation::simulation(const history& plan)
+    : plan(plan), all_edges(plan.regions == 3 ? edges_in_3_regions : edges_in_5_regions), random(plan.seed),
+      edges(this->all_edges.size()), side(7, 0) {
     for (std::size_t i = 0; i < this->edges.size(); ++i) {
         this->edges[i].skew_ms = this->chance(4000) - 2000;
         this->start(i, true);
     }
 }
 
-// Two entry hosts per region first; the change adds a3, which takes over keys of a1 and a2.
-ledger_members simulation::members_at(int membership) {
-    auto old = all_edges;
-    std::erase_if(old, [](const ledger_member& member) { return member.edge == "a3"; });
+// With 3 regions there are two entry hosts per region first; the change adds a3, which takes over keys of a1 and a2.
+// With 5 regions, the change adds the fifth.
+ledger_members simulation::members_at(int membership) const {
+    auto old = this->all_edges;
+    old.erase(old.begin() + added_edge);
     if (membership == 0) {
         return {old, {}};
     }
-    return {all_edges, membership == 1 ? old : std::vector<ledger_member>{}};
+    return {this->all_edges, membership == 1 ? old : std::vector<ledger_member>{}};
 }
 
 void simulation::at(duration delay, std::function<void()> action) {
@@ -102,7 +105,7 @@
         break;
     case step::kind::partition:
         for (std::size_t i = 0; i < 7; ++i) {
-            this->side[i] = pick % 3 == 0 ? static_cast<int>(all_edges[i].region == "a") : (next.pick >> i) & 1;
+            this->side[i] = pick % 3 == 0 ? static_cast<int>(this->all_edges[i].region == "a") : (next.pick >> i) & 1;
         }
         this->at(ms(next.length_ms), [this] { this->side.assign(7, 0); });
         break;
@@ -117,11 +120,11 @@
     edge.incarnation = ++this->last_incarnation;
     edge.membership = this->membership;
     edge.copied = first;
-    ledger_replica_options options{all_edges[index].edge, edge.incarnation, unix_start_ms + edge.skew_ms, first};
+    ledger_replica_options options{this->all_edges[index].edge, edge.incarnation, unix_start_ms + edge.skew_ms, first};
     options.page_entries = 1;
     edge.replica = std::make_unique<ledger_replica>(this->now, options, members_at(this->membership));
     edge.coordinator = std::make_unique<ledger_coordinator>(
-        ledger_coordinator_options{all_edges[index].edge, edge.incarnation, unix_start_ms + edge.skew_ms},
+        ledger_coordinator_options{this->all_edges[index].edge, edge.incarnation, unix_start_ms + edge.skew_ms},
         members_at(this->membership));
 }
 
@@ -134,7 +137,7 @@
     this->killed = true;
     for (std::size_t i = 0; i < this->edges.size(); ++i) {
         if (this->edges[i].incarnation != 0) {
-            this->handle(i, this->edges[i].coordinator->peer_disconnected(this->now, all_edges[index].edge));
+            this->handle(i, this->edges[i].coordinator->peer_disconnected(this->now, this->all_edges[index].edge));
         }
     }
     this->at(down, [this, index] {
@@ -222,8 +225,8 @@
     if (edge.incarnation == 0 || this->side[from] != this->side[to]) {
         return;
     }
-    this->send(to, edge.replica->receive(this->now, all_edges[from].edge, body));
-    this->handle(to, edge.coordinator->receive(this->now, all_edges[from].edge, body));
+    this->send(to, edge.replica->receive(this->now, this->all_edges[from].edge, body));
+    this->handle(to, edge.coordinator->receive(this->now, this->all_edges[from].edge, body));
 }
 
 void simulation::handle(std::size_t index, ledger_actions actions) {
@@ -354,8 +357,8 @@
 }
 
 std::size_t simulation::index_of(const std::string& name) const {
-    for (std::size_t i = 0; i < all_edges.size(); ++i) {
-        if (all_edges[i].edge == name) {
+    for (std::size_t i = 0; i < this->all_edges.size(); ++i) {
+        if (this->all_edges[i].edge == name) {
             return i;
         }
     }
--- a/tests/request/ledger_histories.h
+++ b/tests/request/ledger_histories.h
@@ -1,4 +1,4 @@
-// A simulated group of 7 edges in 3 regions with a faulty network and a target that records each run.
+// A simulated group of 7 edges in 3 or 5 regions with a faulty network and a target that records each run.
 
 #pragma once
 
@@ -19,8 +19,11 @@
 namespace persimmongrade::test {
 
 inline constexpr std::int64_t unix_start_ms = 1'790'000'000'000;
-inline const std::vector<ledger_member> all_edges = {{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"b1", "b"},
-                                                     {"b2", "b"}, {"c1", "c"}, {"c2", "c"}};
+inline const std::vector<ledger_member> edges_in_3_regions = {{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"b1", "b"},
+                                                              {"b2", "b"}, {"c1", "c"}, {"c2", "c"}};
+inline const std::vector<ledger_member> edges_in_5_regions = {{"a1", "a"}, {"a2", "a"}, {"d1", "d"}, {"b1", "b"},
+                                                              {"b2", "b"}, {"c1", "c"}, {"e1", "e"}};
+inline constexpr std::size_t added_edge = 2;  // joins in a change of members; with 5 regions, a region joins with it
 
 // One step of a generated history. `pick` chooses among edges, replicas of a key or kinds of faults.
 struct step {
@@ -49,6 +52,7 @@
     int late_ms = 1;
     int failing_percent = 0;  // of dispatches: refused before they run, or their answer is lost
     int keys = 1;
+    int regions = 3;
     std::vector<step> steps;
 };
 
@@ -123,16 +127,17 @@
     std::string key_of(int number);
     std::size_t replica_of(int key, int pick);
     std::int64_t chance(std::int64_t below) { return static_cast<std::int64_t>(this->random() % below); }
-    static ledger_members members_at(int membership);
+    ledger_members members_at(int membership) const;
     static std::string answer_of(const std::string& key, std::uint64_t fingerprint, std::size_t run);
 
     const history& plan;
+    const std::vector<ledger_member>& all_edges;
     std::mt19937_64 random;
     time_point now = time_point(ms(1'000'000));
     std::uint64_t order = 0;
     std::priority_queue<event> events;
     std::vector<edge> edges;
-    int membership = 0;     // step of the change that is in force: 0 without a3, 1 both, 2 with a3
+    int membership = 0;     // step of the change that is in force: 0 without the added edge, 1 both, 2 with it
     std::vector<int> side;  // edges on different sides of a partition cannot talk
     bool healed = false;
     bool killed = false;  // any edge, at any time
--- a/tests/request/test_ledger.cpp
+++ b/tests/request/test_ledger.cpp
@@ -22,7 +22,7 @@
 std::ostream& operator<<(std::ostream& out, const history& value) {
     out << "seed " << value.seed << ", loss " << value.loss_percent << "%, duplicates " << value.duplicate_percent
         << "%, late " << value.late_percent << "% by " << value.late_ms << " ms, failing " << value.failing_percent
-        << "%, keys " << value.keys << ", steps";
+        << "%, keys " << value.keys << ", regions " << value.regions << ", steps";
     for (const auto& next : value.steps) {
         out << " " << next;
     }
@@ -77,9 +77,11 @@
 }  // namespace
 
 TEST_CASE("no history of resends and faults runs a request twice or makes a refusal false", "[ledger]") {
+    int regions = GENERATE(3, 5);
     totals sum;
-    auto property = [&sum] {
+    auto property = [&sum, regions] {
         auto plan = *rc::gen::resize(rc::kNominalSize, rc::gen::exec(arbitrary_history));
+        plan.regions = regions;
         simulation run(plan);
         run.run();
         sum.runs += run.counts.runs;
@@ -101,9 +103,10 @@
     rc::detail::printResultMessage(result, text);
     INFO(text.str());
     CHECK(result.template is<rc::detail::SuccessResult>());
-    std::cout << "histories " << histories() << ": runs " << sum.runs << ", replays " << sum.replays << ", waits "
-              << sum.waits << ", not_run " << sum.not_run << ", unknown " << sum.unknown << ", key_reused "
-              << sum.reused << ", refused after a not_run " << sum.fenced << ", replicas copied " << sum.copies << "\n";
+    std::cout << "histories " << histories() << " with " << regions << " regions: runs " << sum.runs << ", replays "
+              << sum.replays << ", waits " << sum.waits << ", not_run " << sum.not_run << ", unknown " << sum.unknown
+              << ", key_reused " << sum.reused << ", refused after a not_run " << sum.fenced << ", replicas copied "
+              << sum.copies << "\n";
     CHECK(std::min({sum.runs, sum.replays, sum.waits, sum.not_run, sum.unknown, sum.reused, sum.fenced, sum.copies}) >
           0);
 }
