--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -17,7 +17,8 @@
 // Outcomes. `not_run` is a statement about the key, not about one attempt: an earlier send of the same key may have
 // run through another edge. Only an attempt that holds a majority of the replicas can state it, so an edge must call
 // begin() before it refuses a non-idempotent request as not_run for any reason, and must report `unknown` otherwise.
-// For the same reason claim_quorum_unavailable and deadline_exceeded come with `unknown`.
+// For the same reason claim_quorum_unavailable and deadline_exceeded come with `unknown`, and so does key_reused unless
+// the refusing attempt holds the majority.
 //
 // After not_dispatched() no request that began earlier can run: its refusal (claim_conflict, not_run) carries a retry
 // hint, since a resend that begins later can.
@@ -117,7 +118,10 @@
 
 // ---- 2. Replica sets ----
 
-// Members of the replica set of a key: one edge per region by rendezvous hash (XXH64), in order of region.
+inline constexpr std::size_t ledger_replicas = 3;  // of a key, fewer when there are fewer regions
+
+// Members of the replica set of a key, in order of region: one edge in each of three regions, so that no region holds a
+// majority. Rendezvous hashes (XXH64) choose the regions, if there are more than three, and the edge in each.
 std::vector<std::string> replica_set(std::string_view key, const std::vector<ledger_member>& members);
 
 // Members before and after a change. `previous` is empty when no change is in progress.
@@ -130,7 +134,7 @@
 
     std::vector<std::vector<std::string>> sets_of(std::string_view key) const;  // one or two sets
     std::set<std::string> all_of(std::string_view key) const;                   // their union
-    std::uint64_t hash() const;                                                 // equal members, equal hash
+    std::uint64_t hash() const;                                                 // equal for equal sets of every key
 
     bool operator==(const ledger_members&) const = default;
 };
@@ -169,9 +173,10 @@
     std::size_t answer_bytes() const noexcept;  // held in bodies of stored answers
 
 private:
+    using owner = std::pair<std::string, std::uint64_t>;  // edge and its incarnation
     struct refusal {
-        ledger_attempt attempt;
-        time_point at;
+        std::uint64_t number = 0;  // of the attempt
+        time_point at;             // never too early
     };
     struct claim {
         ledger_attempt attempt;
@@ -185,7 +190,7 @@
         std::optional<ledger_attempt> aborted;                // last aborted attempt
         std::optional<claim> decided;                         // attempt that completed or whose outcome is lost
         std::shared_ptr<const wire::stored_answer_t> answer;  // null while `decided` is uncertain
-        std::optional<refusal> refused;
+        std::map<owner, refusal> refused;                     // last not_run refusal by each owner of attempts
     };
     struct copy_progress {
         std::uint64_t request_id = 0;   // of the page asked for; 0: none
@@ -205,11 +210,15 @@
     entry* find_or_add(time_point now, const std::string& key);
     static wire::claim_result decide_claim(const claim& wanted, const entry& found);
     void decide(entry& found, const claim& attempt, std::shared_ptr<const wire::stored_answer_t> answer);
+    static void note_refusal(time_point now, entry& found, const ledger_attempt& by, std::int64_t ms_ago);
+    static void show_refusal(time_point now, const entry& value, const ledger_attempt& reader,
+                             wire::ledger_entry_t& shown);
     void merge(time_point now, const wire::ledger_entry_t& incoming);
     void plan_copy();
     void request_page(time_point now, const std::string& peer, copy_progress& progress,
                       std::vector<ledger_message>& out);
-    std::vector<wire::ledger_entry_t> to_wire(time_point now, const std::string& key, const entry& value) const;
+    static std::vector<wire::ledger_entry_t> to_wire(const std::string& key, const entry& value);
+    static std::vector<wire::ledger_entry_t> copies_of(time_point now, const std::string& key, const entry& value);
     void expire(time_point now);
     std::int64_t unix_ms(time_point now) const noexcept;
 
@@ -250,8 +259,8 @@
 public:
     ledger_coordinator(ledger_coordinator_options options, ledger_members members);
 
-    // Starts an attempt, or joins the running one. Refuses at once: idempotency_key_invalid, key_expired (outcome
-    // unknown), key_from_future (not_run), key_reused.
+    // Starts an attempt, or joins the running one. Refuses at once: idempotency_key_invalid (outcome none),
+    // key_expired, key_from_future and key_reused (unknown: another edge may have accepted the key).
     ledger_actions begin(time_point now, const ledger_request& request);
 
     // Handles claim_reply, attempt_query and attempt_status from edge `from`; others are ignored.
@@ -328,7 +337,7 @@
     bool settled_by(time_point now, const active& attempt, const wire::ledger_entry_t& entry, ledger_actions& out);
     void note_conflict(time_point now, active& attempt, vote& from, const wire::ledger_entry_t& entry,
                        ledger_actions& out) const;
-    void refuse_reused(time_point now, const active& attempt, wire::outcome outcome, ledger_actions& out);
+    void refuse_reused(time_point now, const active& attempt, ledger_actions& out);
     void on_query(time_point now, const std::string& from, const wire::attempt_query_t& query,
                   ledger_actions& out) const;
     void on_status(time_point now, const std::string& from, const wire::attempt_status_t& status, ledger_actions& out);
@@ -353,7 +362,7 @@
     bool expire_waiters(time_point now, active& attempt, ledger_actions& out);
     void tick_finished(time_point now, ledger_actions& out);
     active* dispatched(std::uint64_t attempt);
-    time_point refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const;
+    std::optional<time_point> refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const;
     ledger_attempt id_of(std::uint64_t number) const;
 
     ledger_coordinator_options options;
--- a/src/request/ledger_coordinator.cpp
+++ b/src/request/ledger_coordinator.cpp
@@ -61,14 +61,14 @@
     try {
         key_time = uuid_v7_time_ms(request.key);
     } catch (const uuid_error&) {
-        return refuse(wire::refusal_reason::idempotency_key_invalid, wire::outcome::not_run);
+        return refuse(wire::refusal_reason::idempotency_key_invalid, wire::outcome::none);
     }
     std::int64_t age = now.time_since_epoch().count() + this->options.unix_offset_ms - key_time;
     if (age > ledger_max_key_age.count()) {
         return refuse(wire::refusal_reason::key_expired, wire::outcome::unknown);
     }
     if (age < -ledger_max_key_future.count()) {
-        return refuse(wire::refusal_reason::key_from_future, wire::outcome::not_run);
+        return refuse(wire::refusal_reason::key_from_future, wire::outcome::unknown);
     }
     if (now >= request.deadline) {
         return refuse(wire::refusal_reason::deadline_exceeded, wire::outcome::unknown);
@@ -76,8 +76,7 @@
     auto [position, added] = this->active_by_key.try_emplace(request.key);
     auto& attempt = position->second;
     if (!added && (attempt.fingerprint != request.fingerprint || attempt.service != request.service)) {
-        bool held = attempt.state == phase::dispatched;  // the other content holds the key and may have run
-        return refuse(wire::refusal_reason::key_reused, held ? wire::outcome::not_run : wire::outcome::unknown);
+        return refuse(wire::refusal_reason::key_reused, wire::outcome::unknown);
     }
     attempt.waiters.push_back({request.request, request.deadline});
     if (!added) {
@@ -171,8 +170,11 @@
         return;
     }
     auto& from_vote = found->second;
+    if (from_vote.replied && reply.incarnation < from_vote.incarnation) {
+        return;  // of a replica that has restarted since and forgot the claim
+    }
     if (from_vote.replied && from_vote.incarnation != reply.incarnation) {
-        from_vote.granted = false;  // the replica restarted and forgot the claim
+        from_vote.granted = false;
     }
     if (from_vote.granted) {
         return;
@@ -205,8 +207,7 @@
         return false;
     }
     if (entry.fingerprint != attempt.fingerprint) {
-        // The other content held a majority when it was dispatched, so this one never ran and never will.
-        this->refuse_reused(now, attempt, wire::outcome::not_run, out);
+        this->refuse_reused(now, attempt, out);
         return true;
     }
     this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
@@ -233,10 +234,10 @@
     }
 }
 
-void ledger_coordinator::refuse_reused(time_point now, const active& attempt, wire::outcome outcome,
-                                       ledger_actions& out) {
+// The outcome is `unknown`, because `not_run` is a statement about the key and the other content may have run.
+void ledger_coordinator::refuse_reused(time_point now, const active& attempt, ledger_actions& out) {
     this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
-    this->refuse_all(attempt, wire::refusal_reason::key_reused, outcome, out);
+    this->refuse_all(attempt, wire::refusal_reason::key_reused, wire::outcome::unknown, out);
 }
 
 void ledger_coordinator::evaluate(time_point now, active& attempt, ledger_actions& out) {
@@ -268,9 +269,7 @@
 void ledger_coordinator::dispatch_or_refuse(time_point now, active& attempt, ledger_actions& out) {
     auto refused_at = attempt.refused_at;
     for (const auto& [replica, vote] : attempt.votes) {
-        if (vote.granted && vote.refused_at) {
-            refused_at = std::max(refused_at.value_or(*vote.refused_at), *vote.refused_at);
-        }
+        refused_at = vote.granted ? std::max(refused_at, vote.refused_at) : refused_at;
     }
     // A caller was told not_run after this request began. Running it now would make that statement false.
     bool told_not_run = refused_at && *refused_at >= attempt.begun_at;
@@ -287,13 +286,12 @@
     out.outcomes.push_back(std::move(outcome));
 }
 
-// Latest time, on the own clock, at which the refusal can have been given.
-time_point ledger_coordinator::refusal_time(time_point now, const ledger_attempt& by, std::int64_t ms_ago) const {
+// Latest time, on the own clock, at which the refusal can have been given. Own refusals of a key came before its active
+// attempt began.
+std::optional<time_point> ledger_coordinator::refusal_time(time_point now, const ledger_attempt& by,
+                                                           std::int64_t ms_ago) const {
     if (by.edge == this->options.edge && by.incarnation == this->options.incarnation) {
-        auto own = this->finished_by_number.find(by.number);
-        if (own != this->finished_by_number.end() && own->second.refused_at) {
-            return *own->second.refused_at;
-        }
+        return std::nullopt;
     }
     auto shortest = static_cast<std::int64_t>(static_cast<double>(ms_ago) * (1.0 - clock_rate_margin));
     return now - ms(std::max<std::int64_t>(0, shortest - clock_fixed_margin.count()));
@@ -386,8 +384,7 @@
     }
     attempt.heard_at = now;
     if (other_content && status.state != wire::attempt_state::aborted) {
-        bool ran = status.state == wire::attempt_state::completed;
-        this->refuse_reused(now, attempt, ran ? wire::outcome::not_run : wire::outcome::unknown, out);
+        this->refuse_reused(now, attempt, out);
     } else if (status.state == wire::attempt_state::completed && status.answer != nullptr) {
         this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
         this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*status.answer), out);
@@ -405,8 +402,8 @@
                                           ledger_actions& out) {
     auto rival = from_wire(*status.attempt);
     if (status.refused_ms_ago >= 0) {
-        auto refused_at = this->refusal_time(now, rival, status.refused_ms_ago);
-        attempt.refused_at = std::max(attempt.refused_at.value_or(refused_at), refused_at);
+        // std::optional orders nothing before every time.
+        attempt.refused_at = std::max(attempt.refused_at, this->refusal_time(now, rival, status.refused_ms_ago));
     }
     for (auto& [replica, vote] : attempt.votes) {
         if (attempt.state == phase::claiming && vote.conflict != rival) {
