--- a/tests/steering/test_shift.cpp
+++ b/tests/steering/test_shift.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <random>
 
+#include "persimmongrade/client_blocks.h"
 #include "persimmongrade/shift_controller.h"
 
 using namespace persimmongrade;
@@ -518,11 +519,10 @@
 TEST_CASE("every caller region that an edge may derive gets a first assignment at once") {
     shift_world world;
     auto configuration = world.configuration();
-    for (const char* region : {"east", "west"}) {
-        auto& block = configuration.records[0]->client_blocks.emplace_back(std::make_unique<wire::client_block_t>());
-        block->prefix = "203.0.113.0/24";
-        block->region = region;
-    }
+    client_block_writer blocks;
+    blocks.add(parse_client_prefix("203.0.113.0/24"), "east");
+    blocks.add(parse_client_prefix("198.51.100.0/24"), "west");
+    configuration.records[0]->client_blocks = blocks.take();
     auto callers = [&] {
         std::set<std::string> result;
         for (const auto& assignment : world.processes[0].decide(world.now)) {
