Report capacities of idle regions after the region in use lost its targets

Cause: an edge estimates the capacity of targets that it never used from the latency of those it did use. When the only region in use lost all of its targets, no live target had a known latency, and the edge left the other regions out of its pings. Their last reports became stale, so that the shift away from the failed region froze for good. Found by the end-to-end test of a shift: the traffic moved stopped at 5% (28 of about 600 requests per interval) with a cap of 20%.

Change: the edge keeps the last known mean latency of each service.

--- a/src/edge/service_meter.cpp
+++ b/src/edge/service_meter.cpp
@@ -87,15 +87,19 @@
 }
 
 // Reports every region of the service, also one without live targets. A target whose latency was never observed counts
-// as the mean of the others; a region is left out while no latency of the service is known.
+// as the mean of the others, or as the last known mean when no live target has been observed: a region that loses all
+// its targets may have been the only one in use, and a missing report of the others would freeze the shift to them. A
+// region is left out while no latency of the service was ever known.
 void service_meter::report_capacities(wire::edge_ping_t& ping, const wire::service_definition_t& service,
-                                      const std::vector<target_view>& views) const {
+                                      const std::vector<target_view>& views) {
     double latency_sum = 0;
     double known = 0;
     for (const target_view& view : views) {
         latency_sum += view.latency_ms;
         known += view.latency_ms > 0 ? 1 : 0;
     }
+    double& mean_latency = this->mean_latencies[service.name];
+    mean_latency = known > 0 ? latency_sum / known : mean_latency;
     for (const std::string& region : service.regions) {
         auto capacity = std::make_unique<wire::region_capacity_t>();
         for (const target_view& view : views) {
@@ -104,10 +108,10 @@
             }
             ++capacity->live_targets;
             capacity->cold_targets += view.cold ? 1 : 0;
-            double latency = view.latency_ms > 0 ? view.latency_ms : latency_sum / std::max(1.0, known);
+            double latency = view.latency_ms > 0 ? view.latency_ms : mean_latency;
             capacity->requests_per_second += view.target.slots * ms_per_second / std::max(1.0, latency);
         }
-        if (capacity->live_targets > 0 && known == 0) {
+        if (capacity->live_targets > 0 && mean_latency <= 0) {
             continue;
         }
         capacity->service = service.name;
--- a/src/edge/service_meter.h
+++ b/src/edge/service_meter.h
@@ -47,12 +47,13 @@
 
     void close_window(time_point now);
     void report_capacities(wire::edge_ping_t& ping, const wire::service_definition_t& service,
-                           const std::vector<target_view>& views) const;
+                           const std::vector<target_view>& views);
 
     metric_registry& metrics;
     std::map<std::string, prometheus::Histogram*> latencies;        // by service
     std::map<std::pair<std::string, std::string>, demand> demands;  // by service and caller region
     std::map<std::string, sizes> transfers;                         // by service
+    std::map<std::string, double> mean_latencies;                   // last known of live targets, ms, by service
     time_point started_at;
     time_point window_started;
     std::int64_t measured_at_ms = 0;  // Unix time of the end of the last window
--- a/tests/edge/test_sizes.cpp
+++ b/tests/edge/test_sizes.cpp
@@ -1,6 +1,7 @@
-// Guards the byte sizes that the leader plans link loads with: means of answered requests, with the time of the last.
+// Guards the measurements that the leader plans shifts with: byte sizes of requests, and capacities of regions.
 
 #include "edge_fixture.h"
+#include "persimmongrade/target_pool.h"
 
 using namespace persimmongrade;
 
@@ -39,3 +40,28 @@
     CHECK(demand()->sizes_taken_at_ms == sizes_at);
     CHECK(demand()->taken_at_ms > taken_at);
 }
+
+// Guards against a shift that stays frozen when the only region in use loses its targets: the idle targets of the other
+// regions have no latency of their own, and their capacity must be reported all the same.
+TEST_CASE("capacities of idle regions are reported when the region in use loses its targets") {
+    edge_fixture edge;
+    ip_address address = test_address(next_port());
+    http_server target(edge.loop, address, {}, [&](const http_request&, const auto& exchange) {
+        edge.loop.after(ms(5), [exchange] { exchange->respond({200, {}, "done"}); });  // 0 ms count as not measured
+    });
+    edge.loop.run_for(target_lease);  // capacities are reported from then on
+    edge.announce("t1", "lookups", address);
+    CHECK(edge.call("GET", "/s/lookups/a").status == 200);
+    edge.loop.run_for(ms(600));
+    edge.loop.run_for(target_lease);  // t1 is gone
+    edge.announce("t2", "lookups", test_address(next_port()), "ready", "south");
+    edge.loop.run_for(ms(600));
+    std::map<std::string, double> capacities;
+    for (const auto& entry : edge.control.pings["edge-1"].capacities) {
+        if (entry->service == "lookups") {
+            capacities[entry->region] = entry->requests_per_second;
+        }
+    }
+    CHECK(capacities["north"] == 0);
+    CHECK(capacities["south"] > 0);
+}
