Measure requests per second and latency of single paths with persimmon-load bench

Change: `persimmon-load bench` keeps connections busy or sends at a fixed rate against one or more addresses and paths, in rounds that run all of them side by side, and reports requests/s with their spread, p50, p99, p99.9 and errors as text or JSON.

--- /dev/null
+++ b/tests/load/test_bench.cpp
@@ -0,0 +1,78 @@
+// Guards the closed-loop and fixed-rate measurements against counting wrongly: refusals, waits for a connection, rates.
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include "persimmongrade/http_bench.h"
+#include "persimmongrade/http_server.h"
+
+using namespace persimmongrade;
+
+namespace {
+
+// Serves on a thread of its own, since a measurement occupies its thread. /slow takes 20 ms and /no is refused.
+struct served {
+    ip_address address{"127.9.8." + std::to_string(getpid() % 200 + 20), 8301};
+    std::atomic<bool> ended = false;
+    std::atomic<bool> ready = false;
+    std::thread thread{[this] {
+        event_loop loop;
+        http_server server(loop, this->address, {}, [&](const http_request& request, const auto& exchange) {
+            auto answer = [exchange, status = request.path == "/no" ? 503 : 200] {
+                exchange->respond({status, {}, "body"});
+            };
+            request.path == "/slow" ? static_cast<void>(loop.after(ms(20), answer)) : answer();
+        });
+        this->ready = true;
+        while (!this->ended) {
+            loop.run_for(ms(10));
+        }
+    }};
+
+    served() {
+        while (!this->ready) {
+            std::this_thread::yield();
+        }
+    }
+    ~served() {
+        this->ended = true;
+        this->thread.join();
+    }
+    bench_case on(const std::string& path) const { return {path, this->address, path}; }
+};
+
+}  // namespace
+
+TEST_CASE("a measurement counts answers, refusals and waits from the intended start") {
+    served server;
+    bench_options options{.cases = {server.on("/slow"), server.on("/no"), server.on("/a")},
+                          .connections = 2,
+                          .length = ms(300),
+                          .rounds = 2};
+    auto closed = run_bench(options);
+    CHECK(closed[0].errors == 0);
+    CHECK(closed[0].requests <= 64);  // 2 connections, 600 ms, 20 ms each, and one begun near each end
+    CHECK(closed[0].p50_us >= 19000);
+    CHECK(closed[1].requests == 0);
+    CHECK(closed[1].errors > 0);
+    CHECK(closed[2].requests > closed[0].requests);
+    CHECK(closed[2].ratio == 1);
+    // 200 requests a second need 4 connections at 20 ms each. With 2, the last of 300 ms waits for about as long.
+    options.cases = {server.on("/slow")};
+    options.rate = 200;
+    options.rounds = 1;
+    auto fixed = run_bench(options);
+    CHECK(fixed[0].requests == 60);
+    CHECK(fixed[0].p99_us > 150000);
+    CHECK(render_text(fixed).find("| /slow | ") != std::string::npos);
+    CHECK(render_json(fixed).find("\"p99.9\"") != std::string::npos);
+}
+
+TEST_CASE("cases of a measurement are checked") {
+    CHECK(bench_case::parse("a=127.0.0.1:80/x=y").path == "/x=y");
+    CHECK_THROWS_AS(bench_case::parse("127.0.0.1:80/x"), usage_error);
+    CHECK_THROWS_AS(bench_case::parse("a=127.0.0.1:80"), usage_error);
+    CHECK_THROWS_AS(bench_case::parse("a=host:80/"), address_error);
+    CHECK_THROWS_AS(run_bench({}), usage_error);
+}
--- a/tools/persimmon-load.cpp
+++ b/tools/persimmon-load.cpp
@@ -1,9 +1,12 @@
-// persimmon-load: open-loop load on the entry hosts, with a report and a check against the targets' journals.
+// persimmon-load: open-loop load on the entry hosts, with a report and a check against the targets' journals; and
+// `persimmon-load bench`, which measures requests per second and latency of single paths.
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
 #include "persimmongrade/command_line.h"
+#include "persimmongrade/http_bench.h"
 #include "persimmongrade/load_generator.h"
 #include "persimmongrade/load_report.h"
 
@@ -31,6 +34,12 @@
     add("output", options::value<std::string>()->default_value("text"), "text or json");
     add("html", options::value<std::string>(), "also write an HTML report to this file");
     add("quiet", "no progress lines");
+    add("case", options::value<std::vector<std::string>>(), "bench: name=IP:port/path; repeatable");
+    add("connections", options::value<std::uint32_t>()->default_value(1), "bench: connections of each case");
+    add("rate", options::value<double>()->default_value(0), "bench: requests per second; 0: keep connections busy");
+    add("rounds", options::value<std::uint32_t>()->default_value(1), "bench: each runs every case for duration-s");
+    add("header", options::value<std::vector<std::string>>(), "bench: 'name: value' of each request; repeatable");
+    add("reference", options::value<std::string>()->default_value(""), "bench: case of the ratios; default: the last");
 }
 
 std::vector<ip_address> parse_addresses(const options::variables_map& values, const std::string& name) {
@@ -71,14 +80,46 @@
     result.cancel_share = parse_share(values, "cancel-share");
     result.seed = values["seed"].as<std::uint64_t>();
     result.progress = !values.contains("quiet");
+    return result;
+}
+
+bench_options read_bench_options(const options::variables_map& values) {
+    if (!values.contains("case")) {
+        throw usage_error("bench needs --case");
+    }
+    bench_options result;
+    for (const std::string& text : values["case"].as<std::vector<std::string>>()) {
+        result.cases.push_back(bench_case::parse(text));
+    }
+    if (values.contains("header")) {
+        result.headers = values["header"].as<std::vector<std::string>>();
+    }
+    result.connections = values["connections"].as<std::uint32_t>();
+    result.rate = values["rate"].as<double>();
+    result.length = ms(values["duration-s"].as<std::uint32_t>() * std::int64_t{1000});
+    result.rounds = values["rounds"].as<std::uint32_t>();
+    result.reference = values["reference"].as<std::string>();
+    return result;
+}
+
+bool wants_json(const options::variables_map& values) {
     std::string output = values["output"].as<std::string>();
     if (output != "text" && output != "json") {
-        throw load_options_error("--output must be text or json");
+        throw usage_error("--output must be text or json");
     }
-    return result;
+    return output == "json";
 }
 
-int run(const options::variables_map& values, const load_options& given) {
+// Fails when a request was not answered with 200: the figures would be those of refusals.
+int bench(const bench_options& given, bool json) {
+    std::vector<bench_result> results = run_bench(given);
+    std::cout << (json ? render_json(results) : render_text(results));
+    bool clean = std::all_of(results.begin(), results.end(),
+                             [](const bench_result& one) { return one.errors == 0 && one.requests > 0; });
+    return clean ? exit_success : exit_failure;
+}
+
+int run(const options::variables_map& values, const load_options& given, bool json) {
     event_loop loop;
     load_generator generator(loop, given);
     load_observations observed = generator.run();
@@ -88,7 +129,6 @@
         violations = check_outcomes(observed.records, runs);
     }
     load_summary summary = summarize(observed.records, observed.samples, observed.drains, observed.duration_s);
-    bool json = values["output"].as<std::string>() == "json";
     std::cout << (json ? render_json(summary, violations) : render_text(summary, violations));
     if (values.contains("html")) {
         std::ofstream(values["html"].as<std::string>()) << render_html(summary, violations);
@@ -101,11 +141,19 @@
 int main(int argc, char** argv) {
     program_definition program{.name = "persimmon-load",
                                .usage = "persimmon-load: open-loop load on the entry hosts\n"
-                                        "Exit codes: 0 no violation, 1 a violation or a failure, 2 bad usage"};
+                                        "persimmon-load bench: requests per second and latency of single paths\n"
+                                        "Exit codes: 0 no violation, 1 a violation or a failure, 2 bad usage",
+                               .takes_words = true};
     describe(program.options);
-    program.prepare = [](const options::variables_map& values) {
-        load_options given = read_options(values);
-        return [values, given] { return run(values, given); };
+    program.prepare = [](const options::variables_map& values) -> program_definition::runner {
+        bool json = wants_json(values);
+        if (words(values) == std::vector<std::string>{"bench"}) {
+            return [given = read_bench_options(values), json] { return bench(given, json); };
+        }
+        if (!words(values).empty()) {
+            throw usage_error("unknown command '" + words(values).front() + "'");
+        }
+        return [values, given = read_options(values), json] { return run(values, given, json); };
     };
     return run_program(argc, argv, program);
 }
