Follow edges that are replaced at another address

Cause: an edge connected to the peer addresses of its settings only. Two edges that had both been replaced at other addresses could not reach each other, and with the third lost no claim had a majority. A replaced process that still ran could be taken for its replacement: its messages carried no incarnation but in some ledger messages, and target updates and quarantine notices had none.

Change: - The edge reads addresses and incarnations from `live_edges` after each accepted pong and moves its connections. Entries of an older incarnation than one known change nothing, so that a stale list does no harm; pongs of an earlier term were already refused. - The envelope states the incarnation of the sending edge. A transport drops and counts messages of an incarnation older than the newest one known, for every message type, and sends to a peer over a connection that it accepted when this is of a newer incarnation than its own connection's address. So the leader answers the ping from the new address and not the old process. - A restarted replica copies 4 s after the leader first lists its incarnation in the current term, instead of 1.5 s after its start. Until then an edge with a valid lease may not know of the replacement and count grants of the old process.

Existing tests: the fake control of the fixture now ignores pings of older incarnations, as the leader does; the fixture can start an edge later; deployment.h can start an edge on another host. No check changed.

Conclusion: a host can be replaced under its id at another address without a change elsewhere. A restarted edge votes on the keys of before its start about 3 s later than before.

--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -55,8 +55,8 @@
 inline constexpr duration ledger_claim_window = ms(1000);
 inline constexpr duration ledger_settle_time = ms(1500);
 
-// The same after a change of members, where an edge that has not applied the change may start attempts until its
-// configuration lease (2,000 ms) ends.
+// The same after a change of members, and of an edge from when the leader lists its incarnation: an edge that does not
+// know of the change may start attempts until its configuration lease (2,000 ms) ends.
 inline constexpr duration ledger_change_settle_time = ms(4000);
 
 inline constexpr duration ledger_resend_interval = ms(200);  // claims, completions and aborts without a reply
@@ -167,6 +167,10 @@
 
     void set_members(time_point now, ledger_members members);
 
+    // Starts copying at this time and not after ledger_settle_time. An edge that was replaced at another address has to
+    // wait until no other edge counts grants of the process it replaces, which may still run. No effect when complete.
+    void copy_after(time_point at);
+
     bool voting() const noexcept;                               // on all keys; reported in edge_ping
     bool votes_on(time_point now, std::string_view key) const;  // on this key
     std::size_t entry_count() const noexcept;
--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -7,6 +7,9 @@
 // Frame: 4-byte little-endian payload length, 8-byte little-endian XXH64 of the payload, payload (an `envelope`).
 // A process sends to a peer over its own outgoing connection, or, when it has none to that peer, over the connection
 // that the peer opened. Delivery is not guaranteed: messages to an unreachable peer are dropped and counted.
+//
+// Incarnations. A host can be replaced under the same id while the old process still runs. Messages of an incarnation
+// older than the newest one known of the peer are dropped and counted, and none is sent over a connection it opened.
 
 #pragma once
 
@@ -53,7 +56,11 @@
     // Keeps a connection open to the peer. `send_delay` simulates one-way latency, for measurements on one machine.
     void add_peer(const std::string& id, const ip_address& address, duration send_delay = duration::zero());
     void remove_peer(const std::string& id);
-    bool connected(const std::string& id) const;  // in either direction
+    // Moves the connection of a peer to the address of its incarnation. No effect for an unknown peer, or when a newer
+    // incarnation is known. True when the incarnation is newer than any known before.
+    bool update_peer(const std::string& id, const ip_address& address, std::uint64_t incarnation);
+    void set_incarnation(std::uint64_t incarnation);  // own one, stated in every message from now on
+    bool connected(const std::string& id) const;      // in either direction
 
     // Queues a message (a generated type such as wire::claim_request_t); false when there is no connection.
     template <typename Body>
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -65,6 +65,7 @@
     timer_id stop_timer = 0;
     time_point last_ping_at{};
     timer_id early_ping_timer = 0;
+    std::uint64_t listed_term = 0;  // of the leader whose edge list last showed this incarnation; 0: none
 
     impl(event_loop& loop, wire::edge_settings_t initial, metric_registry& metrics, edge_options options)
         : loop(loop), settings(std::move(initial)), metrics(metrics),
@@ -80,6 +81,7 @@
                }) {
         this->edge.send_notices = [this](const auto& notices) { this->send_notices(notices); };
         this->edge.report_demand = [this] { this->ping_early(); };
+        this->peers.set_incarnation(this->incarnation);
         this->connect(this->settings.control);
         this->connect(this->settings.edges);
         this->timers.push_back(loop.every(ping_period, [this] { this->ping(); }));
@@ -190,6 +192,7 @@
                 this->edge.leases.receive(pong, now);
                 this->live_edges = std::move(pong.edges);
                 this->edge.lookups.set_edges(this->live_edges, this->ready());
+                this->follow_edges(pong.term);
             }
             this->perform(std::move(actions));
             return;
@@ -212,6 +215,34 @@
         }
     }
 
+    // Moves connections to the addresses in the edge list. An entry of an older incarnation than one known changes
+    // nothing, so that a list which the leader made before it heard of a replacement does no harm.
+    void follow_edges(std::uint64_t term) {
+        for (const auto& info : this->live_edges) {
+            if (info->id == this->settings.id) {
+                this->note_own_entry(*info, term);
+                continue;
+            }
+            try {
+                auto address = ip_address::parse(info->peer_address);
+                if (this->peers.update_peer(info->id, address, info->incarnation)) {
+                    this->ledger.peer_replaced(info->id);
+                }
+            } catch (const address_error& reason) {
+                log_warning("edge with a bad peer address", field("edge", info->id), field("reason", reason.what()));
+            }
+        }
+    }
+
+    // Within a configuration lease from now on, every edge that may start attempts knows this incarnation. An entry of
+    // an earlier leader does not count: the current one may not have told the others.
+    void note_own_entry(const wire::edge_info_t& info, std::uint64_t term) {
+        if (info.incarnation == this->incarnation && term != this->listed_term) {
+            this->listed_term = term;
+            this->ledger.listed();
+        }
+    }
+
     ledger_peers ledger_routes() {
         auto send = [this](const std::string& to, const ledger_message_body& body) {
             std::visit([&](const auto& message) { this->peers.send(to, message); }, body);
--- a/src/edge/ledger_service.cpp
+++ b/src/edge/ledger_service.cpp
@@ -58,6 +58,7 @@
             this->other_edges.push_back(peer->id);
         }
     }
+    this->replica.copy_after(loop.now() + ledger_retention);  // until listed()
     this->timer = loop.every(tick_period, [this] { this->tick(); });
 }
 
@@ -89,6 +90,14 @@
     this->perform(this->coordinator.outcome_lost(this->loop.now(), attempt, reason));
 }
 
+void ledger_service::peer_replaced(const std::string& other) {
+    this->perform(this->coordinator.peer_disconnected(this->loop.now(), other));
+}
+
+void ledger_service::listed() {
+    this->replica.copy_after(this->loop.now() + ledger_change_settle_time);
+}
+
 bool ledger_service::receive(const std::string& from, const wire::messageUnion& message) {
     auto body = ledger_body(message);
     if (body) {
--- a/src/edge/ledger_service.h
+++ b/src/edge/ledger_service.h
@@ -39,6 +39,9 @@
     void not_dispatched(std::uint64_t attempt, wire::refusal_reason reason);
     void outcome_lost(std::uint64_t attempt, wire::refusal_reason reason);
 
+    void peer_replaced(const std::string& other);  // grants of its earlier incarnation no longer count
+    void listed();                                 // the leader lists this incarnation to the other edges
+
     // False when the message is not one of the ledger.
     bool receive(const std::string& from, const wire::messageUnion& message);
 
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -86,7 +86,8 @@
 class connection {
 public:
     h2o_socket_t* socket = nullptr;
-    std::string peer_id;  // of an accepted connection: known after its first frame
+    std::string peer_id;            // of an accepted connection: known after its first frame
+    std::uint64_t incarnation = 0;  // of the peer, as in its last frame; 0: not stated
     bool established = false;
     std::function<void(connection&)> on_readable;
     std::function<void(connection&)> on_closed;
@@ -164,6 +165,7 @@
 struct peer_transport::impl {
     struct peer {
         ip_address address;
+        std::uint64_t address_incarnation = 0;  // that is known to use the address; 0: the address is from the settings
         duration send_delay{};
         duration reconnect_delay = first_reconnect_delay;
         std::unique_ptr<connection> outgoing;
@@ -174,6 +176,7 @@
     event_loop& loop;
     std::string cluster;
     std::string id;
+    std::uint64_t incarnation = 0;
     peer_handler handler;
     prometheus::Counter& sent_bytes;
     prometheus::Counter& received_bytes;
@@ -181,10 +184,12 @@
     prometheus::Counter& received_messages;
     prometheus::Counter& dropped;
     prometheus::Counter& corrupt;
+    prometheus::Counter& stale;
     h2o_socket_t* listener = nullptr;
     std::map<std::string, peer> peers;
     std::map<connection*, std::unique_ptr<connection>> accepted;
     std::map<std::string, connection*> accepted_by_id;
+    std::map<std::string, std::uint64_t> newest;       // incarnation known of each peer
     std::vector<std::unique_ptr<connection>> closing;  // destroyed on a later turn, outside their own callbacks
 
     impl(event_loop& loop, std::string cluster, std::string id, metric_registry& metrics, peer_handler handler)
@@ -196,7 +201,9 @@
           dropped(metrics.counter("persimmongrade_peer_dropped_messages_total",
                                   "Messages dropped: no connection or full queue.")),
           corrupt(metrics.counter("persimmongrade_peer_corrupt_frames_total",
-                                  "Frames with a bad length, checksum or content.")) {}
+                                  "Frames with a bad length, checksum or content.")),
+          stale(metrics.counter("persimmongrade_peer_stale_messages_total",
+                                "Messages of processes that were replaced under the same id, dropped.")) {}
 
     void close_later(std::unique_ptr<connection> closed) {
         if (!closed) {
@@ -228,7 +235,12 @@
         entry.outgoing = std::make_unique<connection>(socket);
         entry.outgoing->peer_id = peer_id;
         entry.outgoing->on_readable = [this](connection& readable) { this->read_frames(readable); };
-        entry.outgoing->on_closed = [this, peer_id](connection&) { this->outgoing_closed(peer_id); };
+        entry.outgoing->on_closed = [this, peer_id](connection& closed) {
+            auto found = this->peers.find(peer_id);
+            if (found != this->peers.end() && found->second.outgoing.get() == &closed) {  // not replaced meanwhile
+                this->outgoing_closed(peer_id);
+            }
+        };
         entry.connect_timer = this->loop.after(connect_timeout, [this, peer_id] {
             auto found = this->peers.find(peer_id);
             if (found != this->peers.end() && found->second.outgoing && !found->second.outgoing->established) {
@@ -256,6 +268,14 @@
         entry.reconnect_delay = std::min(entry.reconnect_delay * 2, max_reconnect_delay);
     }
 
+    void reconnect(const std::string& peer_id) {
+        peer& entry = this->peers.at(peer_id);
+        this->loop.cancel(entry.reconnect_timer);
+        this->loop.cancel(entry.connect_timer);
+        this->close_later(std::move(entry.outgoing));
+        this->connect(peer_id);
+    }
+
     void accept(h2o_socket_t* socket) {
         auto incoming = std::make_unique<connection>(socket);
         incoming->on_readable = [this](connection& readable) { this->read_frames(readable); };
@@ -292,6 +312,10 @@
             h2o_buffer_consume(&source.socket->input, frame.consumed);
             this->received_bytes.Increment(static_cast<double>(frame.consumed));
             this->received_messages.Increment();
+            if (!this->is_current(source, *frame.envelope)) {
+                this->stale.Increment();
+                continue;
+            }
             if (!is_outgoing && source.peer_id != frame.envelope->from) {
                 source.peer_id = frame.envelope->from;
                 this->accepted_by_id[source.peer_id] = &source;
@@ -304,18 +328,37 @@
         }
     }
 
+    // False for a message of a process that was replaced. Notes a newer incarnation.
+    bool is_current(connection& source, const wire::envelope_t& envelope) {
+        source.incarnation = envelope.incarnation;
+        if (envelope.incarnation == 0) {
+            return true;
+        }
+        std::uint64_t& known = this->newest[envelope.from];
+        known = std::max(known, envelope.incarnation);
+        return envelope.incarnation == known;
+    }
+
     bool is_outgoing_open(const connection& source) const {
         return std::any_of(this->peers.begin(), this->peers.end(),
                            [&](const auto& entry) { return entry.second.outgoing.get() == &source; });
     }
 
+    // The own connection to the peer, unless a newer incarnation than that of its address has connected.
     connection* route(const std::string& to) {
+        auto known = this->newest.find(to);
+        std::uint64_t current = known == this->newest.end() ? 0 : known->second;
+        auto incoming = this->accepted_by_id.find(to);
+        connection* accepted_connection = nullptr;
+        if (incoming != this->accepted_by_id.end() && incoming->second->incarnation >= current) {
+            accepted_connection = incoming->second;
+        }
         auto found = this->peers.find(to);
-        if (found != this->peers.end() && found->second.outgoing && found->second.outgoing->established) {
-            return found->second.outgoing.get();
+        if (found == this->peers.end() || !found->second.outgoing || !found->second.outgoing->established) {
+            return accepted_connection;
         }
-        auto incoming = this->accepted_by_id.find(to);
-        return incoming == this->accepted_by_id.end() ? nullptr : incoming->second;
+        bool may_be_old = found->second.address_incarnation < current;
+        return may_be_old && accepted_connection != nullptr ? accepted_connection : found->second.outgoing.get();
     }
 
     bool transmit(const std::string& to, std::string frame) {
@@ -380,6 +423,28 @@
     this->state->close_later(std::move(node.mapped().outgoing));
 }
 
+bool peer_transport::update_peer(const std::string& id, const ip_address& address, std::uint64_t incarnation) {
+    auto found = this->state->peers.find(id);
+    std::uint64_t& known = this->state->newest[id];
+    if (found == this->state->peers.end() || incarnation < known) {
+        return false;
+    }
+    bool newer = incarnation > known;
+    known = incarnation;
+    impl::peer& entry = found->second;
+    entry.address_incarnation = incarnation;
+    if (entry.address != address) {
+        entry.address = address;
+        entry.reconnect_delay = first_reconnect_delay;
+        this->state->reconnect(id);
+    }
+    return newer;
+}
+
+void peer_transport::set_incarnation(std::uint64_t incarnation) {
+    this->state->incarnation = incarnation;
+}
+
 bool peer_transport::connected(const std::string& id) const {
     return this->state->route(id) != nullptr;
 }
@@ -389,6 +454,7 @@
     envelope.cluster = this->state->cluster;
     envelope.from = this->state->id;
     envelope.body = std::move(message);
+    envelope.incarnation = this->state->incarnation;
     std::string frame = encode_frame(envelope);
     auto found = this->state->peers.find(to);
     if (found == this->state->peers.end() || found->second.send_delay == duration::zero()) {
--- a/src/request/ledger_replica.cpp
+++ b/src/request/ledger_replica.cpp
@@ -55,6 +55,13 @@
     this->plan_copy();
 }
 
+void ledger_replica::copy_after(time_point at) {
+    if (!this->complete) {
+        this->copy_from = at;
+        this->plan_copy();
+    }
+}
+
 // The members of other regions hold every entry of this replica's keys. While members change, those before the change
 // do: each claim is on a majority of them.
 void ledger_replica::plan_copy() {
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -55,6 +55,9 @@
             return;
         }
         const wire::edge_ping_t& ping = *envelope.body.Asedge_ping();
+        if (ping.incarnation < this->pings[ping.edge].incarnation) {
+            return;  // as the leader does
+        }
         this->pings[ping.edge] = ping;
         if (ping.applied_revision < this->configuration.revision) {
             this->push(ping.edge);
@@ -160,16 +163,32 @@
             for (const auto& other : list) {
                 entry->edges.push_back(std::make_unique<wire::peer_settings_t>(*other));
             }
-            this->metrics.push_back(std::make_unique<metric_registry>());
-            this->edges.push_back(std::make_unique<edge_server>(this->loop, *entry, *this->metrics.back(),
-                                                                edge_options{true, this->edges.size() + 1}));
-            this->settings.push_back(std::move(entry));
+            this->start(std::move(entry), true);
         }
         this->wait_until([&] {
             return std::all_of(this->edges.begin(), this->edges.end(), [](const auto& edge) { return edge->ready(); });
         });
     }
 
+    void start(std::unique_ptr<wire::edge_settings_t> entry, bool first_start) {
+        this->metrics.push_back(std::make_unique<metric_registry>());
+        this->edges.push_back(std::make_unique<edge_server>(this->loop, *entry, *this->metrics.back(),
+                                                            edge_options{first_start, this->edges.size() + 1}));
+        this->settings.push_back(std::move(entry));
+    }
+
+    // Starts a process with the id of an edge at other addresses, and waits until it votes in the ledger. The other
+    // edges keep their settings.
+    void replace(std::size_t edge) {
+        auto entry = std::make_unique<wire::edge_settings_t>(*this->settings[edge]);
+        std::string id = entry->id;
+        entry->http_address = test_address(next_port()).to_string();
+        entry->peer_address = test_address(next_port()).to_string();
+        this->start(std::move(entry), false);
+        this->wait_until([&] { return this->edges.back()->ready(); });
+        this->wait_until([&] { return this->control.pings[id].ledger_voting; }, ms(10000));
+    }
+
     template <typename Condition>
     void wait_until(Condition condition, duration longest = ms(5000)) {
         time_point until = this->loop.now() + longest;
@@ -193,12 +212,12 @@
     }
 
     void announce(const std::string& id, const std::string& service, const ip_address& address,
-                  const std::string& state = "ready", const std::string& region = "north") {
+                  const std::string& state = "ready", const std::string& region = "north", std::size_t edge = 0) {
         static int sequence = 0;
         std::string body = R"({"id":")" + id + R"(","service":")" + service + R"(","address":")" + address.to_string() +
                            R"(","region":")" + region + R"(","zone":"z","slots":64,"connections":100,"state":")" +
                            state + R"(","sequence":)" + std::to_string(++sequence) + "}";
-        CHECK(this->call("POST", "/v1/targets", {}, body).status == 200);
+        CHECK(this->call("POST", "/v1/targets", {}, body, edge).status == 200);
         this->loop.run_for(ms(30));  // reaches the other edges
     }
 
--- a/tests/load/deployment.h
+++ b/tests/load/deployment.h
@@ -74,6 +74,13 @@
         this->start_with_bootstrap(id, "persimmongrade-edge", bootstrap);
     }
 
+    // Starts a process with the id of edge `i` on another host. No other process's settings change.
+    void replace_edge(std::size_t i, std::size_t host) {
+        std::string id = "edge-" + std::to_string(i);
+        this->write(id, this->common("edge", i, host) + "stop_timeout_ms: 15000\nlookup_ttl_ms: 1000\n");
+        this->start_with_bootstrap(id, "persimmongrade-edge", false);
+    }
+
     void start_target(const std::string& service, std::size_t i) {
         std::string id = service + "-" + std::to_string(i);
         std::ostringstream text;
@@ -262,12 +269,16 @@
     }
 
     std::string common(const std::string& label, std::size_t number) const {
+        return this->common(label, number, number);
+    }
+
+    std::string common(const std::string& label, std::size_t number, std::size_t host) const {
         std::ostringstream text;
         bool control = label == "control";
         text << "cluster: test\nid: " << label << "-" << number << "\nregion: " << region(number)
              << "\nzone: " << region(number) << "-a\nhttp_address: \""
-             << this->address(label, number, control ? 8100 : 8000) << "\"\npeer_address: \""
-             << this->address(label, number, control ? 7100 : 7000) << "\"\n";
+             << this->address(label, host, control ? 8100 : 8000) << "\"\npeer_address: \""
+             << this->address(label, host, control ? 7100 : 7000) << "\"\n";
         this->peers(text, "control", control_count, 7100);
         this->peers(text, "edge", edge_count, 7000);
         return text.str();
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -184,3 +184,50 @@
     loop.run_for(ms(50));
     CHECK_FALSE(a.send("b", wire::config_ack_t{}));
 }
+
+// Guards against taking a replaced process, which still runs, for its replacement under the same id.
+TEST_CASE("messages go to and come from the newest incarnation of a peer only") {
+    event_loop loop;
+    metric_registry metrics;
+    std::uint64_t received = 0;
+    std::map<std::uint64_t, std::uint64_t> reached;  // last message to each incarnation of b
+    peer_transport a(loop, "test", "a", test_address(8011), metrics,
+                     [&](const wire::envelope_t& envelope) { received = envelope.body.Asconfig_ack()->revision; });
+    a.add_peer("b", test_address(8012));
+    auto start = [&](std::uint16_t port, std::uint64_t incarnation) {
+        auto b = std::make_unique<peer_transport>(loop, "test", "b", test_address(port), metrics,
+                                                  [&reached, incarnation](const wire::envelope_t& envelope) {
+                                                      reached[incarnation] = envelope.body.Asconfig_ack()->revision;
+                                                  });
+        b->set_incarnation(incarnation);
+        b->add_peer("a", test_address(8011));
+        return b;
+    };
+    auto send = [&](peer_transport& from, const std::string& to, std::uint64_t revision) {
+        wire::config_ack_t ack;
+        ack.revision = revision;
+        from.send(to, std::move(ack));
+        loop.run_for(ms(50));
+    };
+    auto old_process = start(8012, 5);
+    loop.run_for(ms(700));
+    send(*old_process, "a", 1);
+    CHECK(received == 1);
+    auto new_process = start(8013, 6);
+    loop.run_for(ms(100));
+    send(*new_process, "a", 2);
+    CHECK(received == 2);
+    send(*old_process, "a", 3);
+    CHECK(received == 2);
+    send(a, "b", 4);  // over the connection of the new process, since a's own one leads to the old address
+    CHECK(reached[6] == 4);
+    CHECK_FALSE(a.update_peer("b", test_address(8012), 5));  // an old list
+    send(a, "b", 5);
+    CHECK(reached[6] == 5);
+    a.update_peer("b", test_address(8013), 6);
+    new_process->remove_peer("a");
+    loop.run_for(ms(200));
+    send(a, "b", 6);
+    CHECK(reached[6] == 6);
+    CHECK(reached[5] == 0);
+}
