--- a/include/persimmongrade/edge_list.h
+++ b/include/persimmongrade/edge_list.h
@@ -24,6 +24,7 @@
     bool receive(const wire::edge_pong_t& pong);  // whether the list changed
 
     const entry_list& entries() const noexcept { return this->items; }      // by id
+    std::uint64_t term() const noexcept { return this->known_term; }        // of the leader that stated the list
     std::uint64_t version() const noexcept { return this->known_version; }  // in the term of its leader; 0: none
 
 private:
