Count the record's largest sizes in shifts over a limited link when none are measured

Cause: a shift over a limited link froze without message sizes measured in the last 30 s. When a region lost its targets while no other region had callers, no request was answered any more, so that no size was ever measured and the shift never started: its callers would have been refused until the region returned.

Change: without fresh sizes the largest sizes that the record allows are counted. They can only make a step smaller. The property counted a step without fresh sizes as a fault; it now holds every step, with or without fresh sizes, to the link limits, counted with the largest sizes where no fresh ones exist. The test of the freeze now requires the smaller step instead.

Conclusion: no link is planned above its limit, and the shift does not wait for sizes.

--- a/src/steering/shift_controller.cpp
+++ b/src/steering/shift_controller.cpp
@@ -262,29 +262,27 @@
     return true;
 }
 
-// Bytes per request: the largest of the edges' means, of the fresh ones if there are any; before the first answer the
-// record's maximum.
+// Bytes per request: the largest of the edges' fresh means. Without a fresh one, the largest sizes that the record
+// allows take their place: a freeze would never end when all callers are in a region that lost its targets, since no
+// request is answered there, and larger sizes can only make a step smaller.
 shift_controller::service_size shift_controller::size_of(const std::string& service, time_point now) const {
-    service_size result;
+    service_size measured;
+    bool any = false;
     auto samples = this->sizes.find(service);
-    if (samples == this->sizes.end() || samples->second.empty()) {
-        auto entry = this->services.find(service);
-        if (entry != this->services.end()) {
-            result = {double(entry->second.max_request_bytes), double(entry->second.max_answer_bytes), false};
+    if (samples != this->sizes.end()) {
+        for (const auto& [edge, sample] : samples->second) {
+            if (sample.taken_at <= now + clock_tolerance && now - sample.taken_at <= this->options.size_age_limit) {
+                any = true;
+                measured.request_bytes = std::max(measured.request_bytes, sample.request_bytes);
+                measured.answer_bytes = std::max(measured.answer_bytes, sample.answer_bytes);
+            }
         }
-        return result;
     }
-    for (const auto& [edge, sample] : samples->second) {
-        bool fresh = sample.taken_at <= now + clock_tolerance && now - sample.taken_at <= this->options.size_age_limit;
-        if (fresh && !result.fresh) {
-            result = {0, 0, true};
-        }
-        if (fresh || !result.fresh) {
-            result.request_bytes = std::max(result.request_bytes, sample.request_bytes);
-            result.answer_bytes = std::max(result.answer_bytes, sample.answer_bytes);
-        }
+    auto entry = this->services.find(service);
+    if (any || entry == this->services.end()) {
+        return measured;
     }
-    return result;
+    return {double(entry->second.max_request_bytes), double(entry->second.max_answer_bytes)};
 }
 
 // Parts of a caller region's demand by the region of the edges that it enters through; without demand its own region.
@@ -533,10 +531,7 @@
     shift_status& status = this->states[plan.service];
     if (plan.changed.empty()) {
         bool capped = plan.blocked && plan.budget * whole < 1;
-        status.state = plan.frozen     ? shift_state::measurements_stale
-                       : !plan.blocked ? shift_state::settled
-                       : capped        ? shift_state::cap_used
-                                       : shift_state::no_room;
+        status.state = !plan.blocked ? shift_state::settled : capped ? shift_state::cap_used : shift_state::no_room;
         return;
     }
     status.state = shift_state::moving;
@@ -584,14 +579,10 @@
 }
 
 // Requests per second of a caller region that the links to a region and back still take.
-double shift_controller::link_room(step& plan, const planned_loads& loads, const std::string& caller,
+double shift_controller::link_room(const step& plan, const planned_loads& loads, const std::string& caller,
                                    const std::string& to) const {
     double result = unlimited;
     for (const auto& [link, bytes] : this->link_bytes({plan.service, caller}, plan.size, to)) {
-        if (!plan.size.fresh) {
-            plan.frozen = true;
-            return 0;
-        }
         auto load = loads.links.find(link);
         double room = this->limits.limit(link) * this->options.fill - (load == loads.links.end() ? 0 : load->second);
         result = bytes > 0 ? std::min(result, std::max(0.0, room) / bytes) : result;
