--- a/tests/control/test_bad_requests.cpp
+++ b/tests/control/test_bad_requests.cpp
@@ -50,15 +50,10 @@
         REQUIRE(caller.wait_closed(loop, ms(3000)));
         return caller.received;
     };
-    auto is_error = [](const std::string& answer, const std::string& status, const std::string& type) {
-        return answer.starts_with("HTTP/1.1 " + status) &&
-               answer.find("content-type: application/json") != std::string::npos &&
-               answer.find(R"("error":")" + type + R"(")") != std::string::npos;
-    };
     const std::string head = "POST /v1/records HTTP/1.1\r\nhost: a\r\nsubmission-id: 1\r\n";
-    CHECK(is_error(answer_to("\x01\x02\r\n\r\n"), "400", "bad_request"));
-    CHECK(is_error(answer_to(head), "408", "request_incomplete"));
-    CHECK(is_error(answer_to(head + "content-length: 99\r\n\r\nschema_version: 2"), "408", "request_incomplete"));
+    CHECK(is_error(answer_to("\x01\x02\r\n\r\n"), 400, "bad_request"));
+    CHECK(is_error(answer_to(head), 408, "request_incomplete"));
+    CHECK(is_error(answer_to(head + "content-length: 99\r\n\r\nschema_version: 2"), 408, "request_incomplete"));
     std::string metrics = answer_to("GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
     CHECK(metrics.find("persimmongrade_operator_refusals_total{error=\"bad_request\"} 1\n") != std::string::npos);
     CHECK(metrics.find("persimmongrade_operator_refusals_total{error=\"request_incomplete\"} 2\n") !=
--- a/tests/edge/test_bad_input.cpp
+++ b/tests/edge/test_bad_input.cpp
@@ -1,7 +1,5 @@
 // Guards the HTTP interface against malformed requests: typed JSON errors, counters, and a process that continues.
 
-#include <sys/socket.h>
-
 #include "../support/raw_connection.h"
 #include "edge_fixture.h"
 #include "persimmongrade/uuid.h"
@@ -12,17 +10,13 @@
 
 // Sends raw bytes and returns what comes back until the connection has been quiet for 100 ms.
 std::string exchange_raw(edge_fixture& edge, const std::string& bytes) {
-    sockaddr_storage storage{};
-    socklen_t length = edge.http_address().to_sockaddr(storage);
-    int descriptor = ::socket(storage.ss_family, SOCK_STREAM, 0);
-    REQUIRE(::connect(descriptor, reinterpret_cast<sockaddr*>(&storage), length) == 0);
-    REQUIRE(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    auto caller = std::make_unique<raw_connection>(edge.http_address());
+    caller->send(bytes);
     edge.loop.run_for(ms(100));
-    std::string received(65536, '\0');
-    ssize_t size = ::recv(descriptor, received.data(), received.size(), MSG_DONTWAIT);
-    ::close(descriptor);
-    edge.loop.run_for(ms(20));
-    received.resize(static_cast<std::size_t>(std::max<ssize_t>(0, size)));
+    caller->receive();
+    std::string received = std::move(caller->received);
+    caller.reset();
+    edge.loop.run_for(ms(20));  // the edge notices the closed connection
     return received;
 }
 
--- a/tests/net/test_incomplete.cpp
+++ b/tests/net/test_incomplete.cpp
@@ -32,13 +32,6 @@
     ~server_fixture() { this->loop.run_for(ms(50)); }
 };
 
-bool is_error(const std::string& answer, int status, const std::string& type) {
-    std::size_t type_at = answer.find("content-type: application/json");
-    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ") && type_at < answer.find("\r\n\r\n") &&
-           answer.find("HTTP/1.1", 1) == std::string::npos &&  // nothing of h2o's own
-           answer.find(R"("error":")" + type + R"(")") != std::string::npos;
-}
-
 const std::string whole = "GET /a HTTP/1.1\r\nhost: a\r\n\r\n";
 
 }  // namespace
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -17,6 +17,14 @@
 
 namespace persimmongrade {
 
+// Whether all that came back is one error of this type, and nothing of h2o's own.
+inline bool is_error(const std::string& answer, int status, const std::string& type) {
+    std::size_t type_at = answer.find("content-type: application/json");
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ") && type_at < answer.find("\r\n\r\n") &&
+           answer.find("HTTP/1.1", 1) == std::string::npos &&
+           answer.find(R"("error":")" + type + R"(")") != std::string::npos;
+}
+
 class raw_connection {
 public:
     std::string received;
