Take answered connections from the list one by one

Cause: server_connections::restore() went over a copy of the list of answered connections, so a connection closed meanwhile would have been used after its end, and the list allocated memory anew on each poll. No such close is known.

Change: entries are taken from the list itself, from which a closing connection removes itself.

--- a/src/net/server_connections.cpp
+++ b/src/net/server_connections.cpp
@@ -169,7 +169,9 @@
 
 bool server_connections::restore() {
     bool passed_on = false;
-    for (server_connection* connection : std::exchange(this->answered, {})) {
+    while (!this->answered.empty()) {  // closing a connection takes it out of the list
+        server_connection* connection = this->answered.back();
+        this->answered.pop_back();
         h2o_socket_t* socket = connection->socket;
         if (connection->answering || socket->_cb.read != connection->forward) {
             continue;
