Tell blocked claimants of an outcome at once; measure the paths of bookings

Cause: in the demo 5% of the bookings are sent a second time through another edge within 10 ms. The second send found the claim after one round trip, asked the owner in a second one, and then again every 50 ms while the attempt ran.

Change: a replica that blocks a claim asks the owner for the claimant (`attempt_query.asker`), and the owner sends the outcome to all that asked as soon as its attempt ends. Questions every 50 ms remain, for lost messages. The status message is the same as before and is checked as before, so that at-most-once does not depend on it. `persimmongrade_ledger_decision_seconds{path}` counts and times each path.

Tests: the new test fails without the change (the owner tells nobody); the edge test of a resend checks the metric.

--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -101,6 +101,16 @@
     refuse,    // respond with `reason` and `outcome`
 };
 
+// How a request came to be dispatched or replayed.
+enum class ledger_path : std::uint8_t {
+    none,         // refused, or not decided
+    first_round,  // dispatched: the first claims had a majority
+    later_round,  // dispatched after another attempt was aborted or its owner lost
+    stored,       // replayed: a replica had the answer
+    same_edge,    // replayed: joined an attempt of this edge
+    other_edge,   // replayed: the edge that ran the request sent the answer
+};
+
 struct ledger_outcome {
     std::uint64_t request = 0;  // as passed to begin()
     ledger_verdict verdict = ledger_verdict::refuse;
@@ -109,6 +119,7 @@
     wire::refusal_reason reason = wire::refusal_reason::none;
     wire::outcome outcome = wire::outcome::none;
     std::uint32_t retry_after_ms = 0;  // 0: no hint
+    ledger_path path = ledger_path::none;
 };
 
 struct ledger_actions {
@@ -322,6 +333,8 @@
         bool conflicted = false;               // another attempt's claim was seen
         bool other_content = false;            // a replica saw the key with another fingerprint
         bool wait_told = false;
+        int rounds = 0;
+        std::map<std::string, std::uint64_t> askers;  // edges to tell when the attempt ends, with their request_id
     };
     struct finished {
         std::string key;
@@ -342,8 +355,9 @@
     void note_conflict(time_point now, active& attempt, vote& from, const wire::ledger_entry_t& entry,
                        ledger_actions& out) const;
     void refuse_reused(time_point now, const active& attempt, ledger_actions& out);
-    void on_query(time_point now, const std::string& from, const wire::attempt_query_t& query,
-                  ledger_actions& out) const;
+    void on_query(time_point now, const std::string& from, const wire::attempt_query_t& query, ledger_actions& out);
+    wire::attempt_status_t status_of(time_point now, std::uint64_t request_id, const std::string& key,
+                                     const ledger_attempt& wanted) const;
     void on_status(time_point now, const std::string& from, const wire::attempt_status_t& status, ledger_actions& out);
     void on_confirmation(const std::string& replica, std::uint64_t number);
     void on_rival_aborted(time_point now, active& attempt, const wire::attempt_status_t& status, ledger_actions& out);
@@ -359,7 +373,7 @@
                 std::shared_ptr<const wire::stored_answer_t> answer, bool refused, ledger_actions& out);
     void send_finished(time_point now, std::uint64_t number, finished& record, ledger_actions& out) const;
     void refuse_all(const active& attempt, wire::refusal_reason reason, wire::outcome outcome, ledger_actions& out);
-    void replay_all(const active& attempt, const std::shared_ptr<const wire::stored_answer_t>& answer,
+    void replay_all(const active& attempt, const std::shared_ptr<const wire::stored_answer_t>& answer, ledger_path path,
                     ledger_actions& out);
     void tick_active(time_point now, const std::string& key, ledger_actions& out);
     void tick_claiming(time_point now, active& attempt, ledger_actions& out);
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -71,7 +71,7 @@
         : loop(loop), settings(std::move(initial)), metrics(metrics),
           edge(loop, this->settings, metrics, this->incarnation,
                options.random_seed == 0 ? this->incarnation : options.random_seed),
-          ledger(loop, this->settings, this->incarnation, options.first_start, this->ledger_routes()),
+          ledger(loop, this->settings, this->incarnation, options.first_start, metrics, this->ledger_routes()),
           forwarding(this->edge, this->ledger),
           peers(loop, this->settings.cluster, this->settings.id, ip_address::parse(this->settings.peer_address),
                 metrics, [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
--- a/src/edge/ledger_service.cpp
+++ b/src/edge/ledger_service.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+constexpr double ms_per_second = 1000;
 constexpr duration tick_period = ms(20);  // bounds the delay of refusals at a deadline
 
 ledger_members members_of(const wire::edge_settings_t& settings) {
@@ -18,6 +19,15 @@
     return unix_time_ms() - now.time_since_epoch().count();
 }
 
+// Bounds in seconds. A claim takes one round trip between regions, 24 and 40 ms in the deployments of today.
+const prometheus::Histogram::BucketBoundaries decision_bounds{0.005, 0.03, 0.05, 0.07, 0.1, 0.2, 0.5, 1};
+
+const std::map<ledger_path, const char*> path_names{{ledger_path::first_round, "first_round"},
+                                                    {ledger_path::later_round, "later_round"},
+                                                    {ledger_path::stored, "stored"},
+                                                    {ledger_path::same_edge, "same_edge"},
+                                                    {ledger_path::other_edge, "other_edge"}};
+
 template <typename Body>
 std::optional<ledger_message_body> copy_body(const Body* body) {
     return body == nullptr ? std::nullopt : std::optional<ledger_message_body>(*body);
@@ -49,7 +59,7 @@
 }  // namespace
 
 ledger_service::ledger_service(event_loop& loop, const wire::edge_settings_t& settings, std::uint64_t incarnation,
-                               bool first_start, ledger_peers peers)
+                               bool first_start, metric_registry& metrics, ledger_peers peers)
     : loop(loop), edge(settings.id), peers(std::move(peers)),
       replica(loop.now(), {settings.id, incarnation, unix_offset(loop.now()), first_start}, members_of(settings)),
       coordinator({settings.id, incarnation, unix_offset(loop.now())}, members_of(settings)) {
@@ -58,6 +68,12 @@
             this->other_edges.push_back(peer->id);
         }
     }
+    for (const auto& [path, name] : path_names) {
+        this->decision_seconds[path] =
+            &metrics.histogram("persimmongrade_ledger_decision_seconds",
+                               "Time from a non-idempotent request to its dispatch or replay, by path.",
+                               decision_bounds, {{"path", name}});
+    }
     this->replica.copy_after(loop.now() + ledger_retention);  // until listed()
     this->timer = loop.every(tick_period, [this] { this->tick(); });
 }
@@ -68,7 +84,7 @@
 
 void ledger_service::begin(ledger_request request, handler on_outcome) {
     request.request = ++this->last_request;
-    this->handlers[request.request] = std::move(on_outcome);
+    this->handlers[request.request] = {std::move(on_outcome), this->loop.now()};
     this->perform(this->coordinator.begin(this->loop.now(), request));
 }
 
@@ -154,7 +170,11 @@
     if (found == this->handlers.end()) {
         return;
     }
-    handler on_outcome = found->second;
+    handler on_outcome = found->second.on_outcome;
+    if (outcome.path != ledger_path::none) {
+        duration taken = this->loop.now() - found->second.begun_at;
+        this->decision_seconds.at(outcome.path)->Observe(static_cast<double>(taken.count()) / ms_per_second);
+    }
     if (outcome.verdict == ledger_verdict::dispatch) {
         this->dispatched[outcome.attempt] = outcome.request;
     }
--- a/src/edge/ledger_service.h
+++ b/src/edge/ledger_service.h
@@ -11,6 +11,7 @@
 
 #include "persimmongrade/event_loop.h"
 #include "persimmongrade/ledger.h"
+#include "persimmongrade/metrics.h"
 #include "persimmongrade/settings.h"
 
 namespace persimmongrade {
@@ -27,7 +28,7 @@
 
     // `first_start`: the deployment never ran before, so that there is nothing to copy.
     ledger_service(event_loop& loop, const wire::edge_settings_t& settings, std::uint64_t incarnation, bool first_start,
-                   ledger_peers peers);
+                   metric_registry& metrics, ledger_peers peers);
     ~ledger_service();
     ledger_service(const ledger_service&) = delete;
     ledger_service& operator=(const ledger_service&) = delete;
@@ -50,6 +51,11 @@
     bool idle() const { return this->coordinator.running() == 0 && this->coordinator.undelivered() == 0; }
 
 private:
+    struct waiting_request {
+        handler on_outcome;
+        time_point begun_at;
+    };
+
     void tick();
     void watch_connections();
     void perform(ledger_actions actions);
@@ -62,7 +68,8 @@
     ledger_peers peers;
     ledger_replica replica;
     ledger_coordinator coordinator;
-    std::map<std::uint64_t, handler> handlers;          // by request
+    std::map<std::uint64_t, waiting_request> handlers;  // by request
+    std::map<ledger_path, prometheus::Histogram*> decision_seconds;
     std::map<std::uint64_t, std::uint64_t> dispatched;  // request by attempt
     std::set<std::string> connected_edges;
     std::vector<std::string> other_edges;
--- a/src/request/ledger_coordinator.cpp
+++ b/src/request/ledger_coordinator.cpp
@@ -132,6 +132,8 @@
     attempt.other_content = false;
     attempt.sets = this->members.sets_of(attempt.key);
     attempt.votes.clear();
+    attempt.askers.clear();
+    ++attempt.rounds;
     for (const auto& set : attempt.sets) {
         for (const auto& replica : set) {
             auto [vote, added] = attempt.votes.try_emplace(replica);
@@ -214,7 +216,7 @@
     if (entry.answer == nullptr) {
         this->refuse_all(attempt, wire::refusal_reason::outcome_unknown, wire::outcome::unknown, out);
     } else {
-        this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*entry.answer), out);
+        this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*entry.answer), ledger_path::stored, out);
     }
     return true;
 }
@@ -283,6 +285,7 @@
     this->dispatched_keys[attempt.number] = attempt.key;
     ledger_outcome outcome{attempt.waiters.front().request, ledger_verdict::dispatch};
     outcome.attempt = attempt.number;
+    outcome.path = attempt.rounds == 1 ? ledger_path::first_round : ledger_path::later_round;
     out.outcomes.push_back(std::move(outcome));
 }
 
@@ -322,24 +325,32 @@
 }
 
 void ledger_coordinator::on_query(time_point now, const std::string& from, const wire::attempt_query_t& query,
-                                  ledger_actions& out) const {
+                                  ledger_actions& out) {
     if (query.attempt == nullptr) {
         return;
     }
+    auto wanted = from_wire(*query.attempt);
+    const std::string& asker = query.asker.empty() ? from : query.asker;
+    out.messages.push_back({asker, this->status_of(now, query.request_id, query.key, wanted)});
+    auto running = this->active_by_key.find(query.key);
+    bool runs = running != this->active_by_key.end() && running->second.state != phase::waiting &&
+                wanted == this->id_of(running->second.number);
+    if (runs) {
+        running->second.askers[asker] = query.request_id;
+    }
+}
+
+wire::attempt_status_t ledger_coordinator::status_of(time_point now, std::uint64_t request_id, const std::string& key,
+                                                     const ledger_attempt& wanted) const {
     wire::attempt_status_t status;
-    status.request_id = query.request_id;
-    status.key = query.key;
-    status.attempt = std::make_unique<wire::attempt_id_t>(*query.attempt);
+    status.request_id = request_id;
+    status.key = key;
+    status.attempt = std::make_unique<wire::attempt_id_t>(*to_wire(wanted));
     status.state = wire::attempt_state::unknown;
-    auto wanted = from_wire(*query.attempt);
     bool own = wanted == this->id_of(wanted.number);
-    auto running = this->active_by_key.find(query.key);
+    auto running = this->active_by_key.find(key);
     auto ended = this->finished_by_number.find(wanted.number);
-    if (own && running != this->active_by_key.end() && running->second.number == wanted.number &&
-        running->second.state != phase::waiting) {
-        status.state = wire::attempt_state::running;
-        status.dispatched = running->second.state == phase::dispatched;
-    } else if (own && ended != this->finished_by_number.end() && ended->second.key == query.key) {
+    if (own && ended != this->finished_by_number.end() && ended->second.key == key) {
         const auto& record = ended->second;
         if (record.state == wire::ledger_state::completed) {
             status.state = wire::attempt_state::completed;
@@ -348,12 +359,16 @@
             status.state = wire::attempt_state::aborted;
             status.refused_ms_ago = record.refused_at ? (now - *record.refused_at).count() : -1;
         }
+    } else if (own && running != this->active_by_key.end() && running->second.number == wanted.number &&
+               running->second.state != phase::waiting) {
+        status.state = wire::attempt_state::running;
+        status.dispatched = running->second.state == phase::dispatched;
     } else if (own && wanted.number <= this->last_number && !this->ran.contains(wanted.number)) {
         // A forgotten record was confirmed as aborted; its refusal, if there was one, is at least this old.
         status.state = wire::attempt_state::aborted;
         status.refused_ms_ago = this->options.keep_answer.count();
     }
-    out.messages.push_back({from, std::move(status)});
+    return status;
 }
 
 void ledger_coordinator::on_status(time_point now, const std::string& from, const wire::attempt_status_t& status,
@@ -387,7 +402,8 @@
         this->refuse_reused(now, attempt, out);
     } else if (status.state == wire::attempt_state::completed && status.answer != nullptr) {
         this->retire(now, attempt, wire::ledger_state::aborted, nullptr, false, out);
-        this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*status.answer), out);
+        this->replay_all(attempt, std::make_shared<wire::stored_answer_t>(*status.answer), ledger_path::other_edge,
+                         out);
     } else if (status.state == wire::attempt_state::aborted) {
         this->on_rival_aborted(now, attempt, status, out);
     } else if (status.state != wire::attempt_state::running) {
@@ -462,7 +478,7 @@
     auto stored = std::make_shared<const wire::stored_answer_t>(std::move(answer));
     this->retire(now, *found, wire::ledger_state::completed, stored, false, out);
     found->waiters.erase(found->waiters.begin());  // the edge passes the answer on to the request that was dispatched
-    this->replay_all(*found, stored, out);
+    this->replay_all(*found, stored, ledger_path::same_edge, out);
     return out;
 }
 
@@ -512,6 +528,9 @@
         this->ran[attempt.number] = now;
     }
     this->finished_by_number.insert_or_assign(attempt.number, std::move(record));
+    for (const auto& [asker, request_id] : attempt.askers) {
+        out.messages.push_back({asker, this->status_of(now, request_id, attempt.key, this->id_of(attempt.number))});
+    }
 }
 
 void ledger_coordinator::send_finished(time_point now, std::uint64_t number, finished& record,
@@ -560,10 +579,11 @@
 }
 
 void ledger_coordinator::replay_all(const active& attempt, const std::shared_ptr<const wire::stored_answer_t>& answer,
-                                    ledger_actions& out) {
+                                    ledger_path path, ledger_actions& out) {
     for (const auto& waiter : attempt.waiters) {
         ledger_outcome outcome{waiter.request, ledger_verdict::replay};
         outcome.answer = answer;
+        outcome.path = path;
         out.outcomes.push_back(std::move(outcome));
     }
     this->active_by_key.erase(std::string(attempt.key));
--- a/src/request/ledger_replica.cpp
+++ b/src/request/ledger_replica.cpp
@@ -15,6 +15,17 @@
 constexpr duration page_timeout = ms(1000);  // a page without a reply is asked for again
 constexpr duration copy_retry = ms(500);     // after a peer that cannot serve copies itself
 
+// Asks the owner of a claim for the claimant that it blocks. The owner then answers without a further round trip
+// between the claimant and its region.
+ledger_message ask_owner(std::uint64_t request_id, const wire::ledger_entry_t& claimed, const std::string& asker) {
+    wire::attempt_query_t query;
+    query.request_id = request_id;
+    query.key = claimed.key;
+    query.attempt = std::make_unique<wire::attempt_id_t>(*claimed.attempt);
+    query.asker = asker;
+    return {claimed.attempt->edge, std::move(query)};
+}
+
 wire::attempt_status_t confirmation(const std::string& key, const wire::attempt_id_t& attempt,
                                     wire::attempt_state state) {
     wire::attempt_status_t status;  // request_id 0 marks it as a confirmation
@@ -215,6 +226,7 @@
             found->claims.push_back(wanted);
         }
     }
+    std::optional<ledger_message> question;
     if (found != nullptr) {
         auto entries = to_wire(key, *found);
         auto other = std::find_if(entries.begin(), entries.end(), [&](const wire::ledger_entry_t& entry) {
@@ -225,9 +237,17 @@
             shown.fingerprint = found->fingerprint;
         }
         show_refusal(now, *found, wanted.attempt, shown);
+        if (shown.state == wire::ledger_state::claimed && shown.attempt->edge != from) {
+            question = ask_owner(request.request_id, shown, from);
+        }
         reply.entry = std::make_unique<wire::ledger_entry_t>(shown);
     }
-    return {{from, std::move(reply)}};
+    std::vector<ledger_message> out;
+    out.push_back({from, std::move(reply)});
+    if (question) {
+        out.push_back(std::move(*question));
+    }
+    return out;
 }
 
 // Compare-and-set: an attempt is granted only when no other attempt holds the key.
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -56,6 +56,8 @@
     CHECK(second.body == "booking 1");
     CHECK(second.header("persimmon-replayed") == "1");
     CHECK(target.executed == 1);
+    CHECK(edge.metric("persimmongrade_ledger_decision_seconds_count{path=\"first_round\"}", 0) == 1);
+    CHECK(edge.metric("persimmongrade_ledger_decision_seconds_count{path=\"stored\"}", 1) == 1);
     http_response reused = edge.call("POST", "/s/orders/book", {{"idempotency-key", key}}, "lamp 6", 2);
     CHECK(reused.body.find("key_reused") != std::string::npos);
     CHECK(target.executed == 1);
--- a/tests/request/test_ledger_rules.cpp
+++ b/tests/request/test_ledger_rules.cpp
@@ -267,6 +267,38 @@
     CHECK(dispatches(coordinator.receive(start + ms(4), begun.messages[2].to, grant(begun.messages[2]))));
 }
 
+// Guards the latency of resends: with questions asked every 50 ms, the p99 of bookings was twice the p50.
+TEST_CASE("a blocked claimant hears of the outcome as soon as the owner knows it", "[ledger]") {
+    std::string key = key_at(start);
+    auto owner = coordinator_with(three);
+    auto begun = owner.begin(start, {1, key, "crew", 1, start + ms(2000)});
+    auto replica = replica_of("c1", three, true);
+    replica.receive(start, "a1", begun.messages[2].body);
+    ledger_coordinator resend({"b1", 1, unix_offset}, three);
+    auto blocked = resend.begin(start + ms(5), {1, key, "crew", 1, start + ms(2000)});
+    auto out = replica.receive(start + ms(25), "b1", blocked.messages[2].body);
+    REQUIRE(out.size() == 2);
+    CHECK(out[1].to == "a1");
+    owner.receive(start + ms(30), "c1", out[1].body);
+    resend.receive(start + ms(45), "c1", out[0].body);
+    owner.receive(start + ms(40), "a1", grant(begun.messages[0]));
+    REQUIRE(dispatches(owner.receive(start + ms(40), "b1", grant(begun.messages[1]))));
+    wire::stored_answer_t answer;
+    answer.status = 201;
+    bool told = false;
+    for (const auto& message : owner.complete(start + ms(45), 1, std::move(answer)).messages) {
+        if (std::holds_alternative<wire::attempt_status_t>(message.body)) {
+            CHECK(message.to == "b1");
+            auto outcome = resend.receive(start + ms(65), "a1", message.body).outcomes.at(0);
+            CHECK(outcome.verdict == ledger_verdict::replay);
+            CHECK(outcome.path == ledger_path::other_edge);
+            CHECK(outcome.answer->status == 201);
+            told = true;
+        }
+    }
+    CHECK(told);
+}
+
 TEST_CASE("UUID version 7 texts keep their time and others are refused", "[uuid]") {
     std::mt19937_64 random(1);
     for (std::int64_t time : {std::int64_t{0}, std::int64_t{1}, unix_offset, (std::int64_t{1} << 48) - 1}) {
