Give way to an undispatched attempt only when blocked

Cause: of two attempts that block each other, the later in order released its claims at the first conflict it saw, often that of a replica of its own region within 1 ms. With outcomes told at once, such pairs were what was left above 70 ms.

Change: an attempt gives way when conflicts leave it no majority, or after 100 ms, when the third replica is silent. A dispatched rival still wins at once. Only the time of giving way changes; claims and majorities do not.

Test: the new test fails without the change.

--- a/include/persimmongrade/ledger.h
+++ b/include/persimmongrade/ledger.h
@@ -359,6 +359,7 @@
     wire::attempt_status_t status_of(time_point now, std::uint64_t request_id, const std::string& key,
                                      const ledger_attempt& wanted) const;
     void on_status(time_point now, const std::string& from, const wire::attempt_status_t& status, ledger_actions& out);
+    bool gives_way(time_point now, const active& attempt, const ledger_attempt& rival) const;
     void on_confirmation(const std::string& replica, std::uint64_t number);
     void on_rival_aborted(time_point now, active& attempt, const wire::attempt_status_t& status, ledger_actions& out);
     void on_rival_gone(time_point now, active& attempt, const ledger_attempt& rival, ledger_actions& out);
--- a/src/request/ledger_coordinator.cpp
+++ b/src/request/ledger_coordinator.cpp
@@ -14,6 +14,9 @@
 
 // A rival's owner that does not reply for this long is treated as dead: the key is claimed again where possible.
 constexpr duration rival_silence = ms(400);
+// Two attempts with one replica each may wait for the third. After this long, more than a round trip between regions,
+// one gives way although the third replica has not replied.
+constexpr duration longest_split = ms(100);
 // Delivery of an outcome is repeated less often once the replicas had this much time.
 constexpr duration delivery_slow_after = ms(5000);
 constexpr duration delivery_slow_interval = ms(2000);
@@ -408,11 +411,25 @@
         this->on_rival_aborted(now, attempt, status, out);
     } else if (status.state != wire::attempt_state::running) {
         this->on_rival_gone(now, attempt, rival, out);  // a completed one without answer is stored on a majority
-    } else if (attempt.state == phase::claiming && (status.dispatched || rival < this->id_of(attempt.number))) {
+    } else if (attempt.state == phase::claiming && (status.dispatched || this->gives_way(now, attempt, rival))) {
         this->yield_to(now, attempt, rival, out);
     }
 }
 
+// Of two attempts that block each other, the later in order gives way. Before it is blocked it may still win, and
+// releasing its claims would cost the other one a second round trip.
+bool ledger_coordinator::gives_way(time_point now, const active& attempt, const ledger_attempt& rival) const {
+    bool blocked = now - attempt.claimed_from >= longest_split;
+    for (const auto& set : attempt.sets) {
+        auto held = static_cast<std::size_t>(std::count_if(set.begin(), set.end(), [&](const auto& replica) {
+            const auto& vote = attempt.votes.at(replica);
+            return vote.conflict && !vote.granted;
+        }));
+        blocked = blocked || set.size() - held < quorum_of(set);
+    }
+    return blocked && rival < this->id_of(attempt.number);
+}
+
 // The owner states that the attempt never ran and never will, so its claims may be replaced.
 void ledger_coordinator::on_rival_aborted(time_point now, active& attempt, const wire::attempt_status_t& status,
                                           ledger_actions& out) {
--- a/tests/request/test_ledger_rules.cpp
+++ b/tests/request/test_ledger_rules.cpp
@@ -299,6 +299,32 @@
     CHECK(told);
 }
 
+// Guards the latency of two sends at once: one that gave way at its first conflict had often won the other replicas,
+// and the other send then needed a second round of claims.
+TEST_CASE("an attempt gives way to an undispatched one only when it is blocked", "[ledger]") {
+    std::string key = key_at(start);
+    ledger_coordinator coordinator({"b1", 1, unix_offset}, three);
+    auto begun = coordinator.begin(start, {1, key, "crew", 1, start + ms(2000)});
+    auto conflict_at = [&](std::size_t replica, time_point now) {
+        auto reply = grant(begun.messages[replica]);
+        reply.result = wire::claim_result::exists;
+        reply.entry->attempt->edge = "a1";
+        coordinator.receive(now, begun.messages[replica].to, reply);
+        wire::attempt_status_t status;
+        status.request_id = 1;
+        status.key = key;
+        status.attempt = std::make_unique<wire::attempt_id_t>(*reply.entry->attempt);
+        status.state = wire::attempt_state::running;
+        return coordinator.receive(now, "a1", status).messages;
+    };
+    CHECK(conflict_at(0, start + ms(1)).empty());
+    if (GENERATE(false, true)) {
+        CHECK(conflict_at(1, start + ms(40)).size() == 3);  // blocked: one abort for each replica
+    } else {
+        CHECK(conflict_at(0, start + ms(100)).size() == 3);  // the third replica is silent
+    }
+}
+
 TEST_CASE("UUID version 7 texts keep their time and others are refused", "[uuid]") {
     std::mt19937_64 random(1);
     for (std::int64_t time : {std::int64_t{0}, std::int64_t{1}, unix_offset, (std::int64_t{1} << 48) - 1}) {
