Export processor time and peer traffic by message type

Cause: the control cost of a node could not be read from /metrics: bytes and messages were counted in sum only, and processor time was not exported.

Change: persimmongrade_peer_{sent,received}_{bytes,messages}_total carry the label `message`; sum() over it gives the earlier value. process_cpu_seconds_total is part of every registry and thus of both daemons.

--- a/include/persimmongrade/metrics.h
+++ b/include/persimmongrade/metrics.h
@@ -1,4 +1,5 @@
-// Metrics of one process, exported as Prometheus text by the HTTP server at /metrics.
+// Metrics of one process, exported as Prometheus text by the HTTP server at /metrics. Every registry includes the
+// processor time of the process, process_cpu_seconds_total.
 //
 //     metric_registry metrics;
 //     metrics.counter("persimmongrade_refusals_total", "Refused requests.", {{"reason", "no_target"}}).Increment();
@@ -31,6 +32,7 @@
 
 private:
     std::shared_ptr<prometheus::Registry> registry;
+    prometheus::Counter& processor_seconds;  // brought up to date by text()
 };
 
 }  // namespace persimmongrade
--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -7,6 +7,8 @@
 // Frame: 4-byte little-endian payload length, 8-byte little-endian XXH64 of the payload, payload (an `envelope`).
 // A process sends to a peer over its own outgoing connection, or, when it has none to that peer, over the connection
 // that the peer opened. Delivery is not guaranteed: messages to an unreachable peer are dropped and counted.
+//
+// Metrics: bytes (frame headers included) and messages, sent and received, with the label `message` for the type.
 
 #pragma once
 
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -2,9 +2,25 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <ctime>
+
 namespace persimmongrade {
 
-metric_registry::metric_registry() : registry(std::make_shared<prometheus::Registry>()) {}
+namespace {
+
+// User and system time of all threads of the process.
+double used_processor_seconds() {
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / 1e9;
+}
+
+}  // namespace
+
+metric_registry::metric_registry()
+    : registry(std::make_shared<prometheus::Registry>()),
+      processor_seconds(this->counter("process_cpu_seconds_total", "User and system processor time in seconds.")) {}
 
 prometheus::Counter& metric_registry::counter(const std::string& name, const std::string& help, const labels& labels) {
     return prometheus::BuildCounter().Name(name).Help(help).Register(*this->registry).Add(labels);
@@ -21,6 +37,7 @@
 }
 
 std::string metric_registry::text() const {
+    this->processor_seconds.Increment(std::max(0.0, used_processor_seconds() - this->processor_seconds.Value()));
     return prometheus::TextSerializer().Serialize(this->registry->Collect());
 }
 
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -161,6 +161,18 @@
 
 // ---- Transport ----
 
+namespace {
+
+// Of one message type.
+struct traffic_counters {
+    prometheus::Counter* sent_bytes;
+    prometheus::Counter* received_bytes;
+    prometheus::Counter* sent_messages;
+    prometheus::Counter* received_messages;
+};
+
+}  // namespace
+
 struct peer_transport::impl {
     struct peer {
         ip_address address;
@@ -175,10 +187,8 @@
     std::string cluster;
     std::string id;
     peer_handler handler;
-    prometheus::Counter& sent_bytes;
-    prometheus::Counter& received_bytes;
-    prometheus::Counter& sent_messages;
-    prometheus::Counter& received_messages;
+    metric_registry& metrics;
+    std::map<wire::message, traffic_counters> traffic;  // of the types that have occurred
     prometheus::Counter& dropped;
     prometheus::Counter& corrupt;
     h2o_socket_t* listener = nullptr;
@@ -188,16 +198,27 @@
     std::vector<std::unique_ptr<connection>> closing;  // destroyed on a later turn, outside their own callbacks
 
     impl(event_loop& loop, std::string cluster, std::string id, metric_registry& metrics, peer_handler handler)
-        : loop(loop), cluster(std::move(cluster)), id(std::move(id)), handler(std::move(handler)),
-          sent_bytes(metrics.counter("persimmongrade_peer_sent_bytes_total", "Bytes queued to peers.")),
-          received_bytes(metrics.counter("persimmongrade_peer_received_bytes_total", "Bytes of frames received.")),
-          sent_messages(metrics.counter("persimmongrade_peer_sent_messages_total", "Messages queued to peers.")),
-          received_messages(metrics.counter("persimmongrade_peer_received_messages_total", "Messages received.")),
+        : loop(loop), cluster(std::move(cluster)), id(std::move(id)), handler(std::move(handler)), metrics(metrics),
           dropped(metrics.counter("persimmongrade_peer_dropped_messages_total",
                                   "Messages dropped: no connection or full queue.")),
           corrupt(metrics.counter("persimmongrade_peer_corrupt_frames_total",
                                   "Frames with a bad length, checksum or content.")) {}
 
+    traffic_counters& traffic_of(wire::message type) {
+        auto found = this->traffic.find(type);
+        if (found != this->traffic.end()) {
+            return found->second;
+        }
+        metric_registry::labels label{{"message", wire::EnumNamemessage(type)}};
+        auto counter = [&](const char* name, const char* help) { return &this->metrics.counter(name, help, label); };
+        traffic_counters added{
+            counter("persimmongrade_peer_sent_bytes_total", "Bytes of frames queued to peers, by message type."),
+            counter("persimmongrade_peer_received_bytes_total", "Bytes of frames received, by message type."),
+            counter("persimmongrade_peer_sent_messages_total", "Messages queued to peers, by message type."),
+            counter("persimmongrade_peer_received_messages_total", "Messages received, by message type.")};
+        return this->traffic.emplace(type, added).first->second;
+    }
+
     void close_later(std::unique_ptr<connection> closed) {
         if (!closed) {
             return;
@@ -290,8 +311,9 @@
                 return;
             }
             h2o_buffer_consume(&source.socket->input, frame.consumed);
-            this->received_bytes.Increment(static_cast<double>(frame.consumed));
-            this->received_messages.Increment();
+            traffic_counters& counters = this->traffic_of(frame.envelope->body.type);
+            counters.received_bytes->Increment(static_cast<double>(frame.consumed));
+            counters.received_messages->Increment();
             if (!is_outgoing && source.peer_id != frame.envelope->from) {
                 source.peer_id = frame.envelope->from;
                 this->accepted_by_id[source.peer_id] = &source;
@@ -318,15 +340,16 @@
         return incoming == this->accepted_by_id.end() ? nullptr : incoming->second;
     }
 
-    bool transmit(const std::string& to, std::string frame) {
+    bool transmit(const std::string& to, wire::message type, std::string frame) {
         connection* target = this->route(to);
         auto size = static_cast<double>(frame.size());
         if (target == nullptr || !target->enqueue(std::move(frame))) {
             this->dropped.Increment();
             return false;
         }
-        this->sent_bytes.Increment(size);
-        this->sent_messages.Increment();
+        traffic_counters& counters = this->traffic_of(type);
+        counters.sent_bytes->Increment(size);
+        counters.sent_messages->Increment();
         return true;
     }
 };
@@ -389,13 +412,15 @@
     envelope.cluster = this->state->cluster;
     envelope.from = this->state->id;
     envelope.body = std::move(message);
+    wire::message type = envelope.body.type;
     std::string frame = encode_frame(envelope);
     auto found = this->state->peers.find(to);
     if (found == this->state->peers.end() || found->second.send_delay == duration::zero()) {
-        return this->state->transmit(to, std::move(frame));
+        return this->state->transmit(to, type, std::move(frame));
     }
-    this->state->loop.after(found->second.send_delay,
-                            [state = this->state.get(), to, frame = std::move(frame)] { state->transmit(to, frame); });
+    this->state->loop.after(found->second.send_delay, [state = this->state.get(), to, type, frame = std::move(frame)] {
+        state->transmit(to, type, frame);
+    });
     return this->connected(to);
 }
 
