Run timers inside h2o's turn, so that a write from a timer cannot abort the process

Cause: timers ran after h2o_evloop_run. A write that a timer started and that completed at once kept its socket polled for writing over the next poll, when a partial write had just ended there; its completion then ran without a change of the polling. When the socket became writable, h2o aborted the process: `write_pending: Assertion sock->super._cb.write != NULL failed`. A leader that sent about 20 MB of log to a new member died of it.

Change: timers and signal callbacks run as an h2o timeout, after which h2o runs pending completions before it polls.

The reproduction depends on socket buffer sizes.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -32,16 +32,35 @@
         std::function<void()> callback;
     };
 
+    // Timers and signal callbacks run as an h2o timeout: h2o then runs the completions of the writes that they start
+    // before its next poll. A completion that runs after that poll can leave the socket polled for writing without a
+    // write, and h2o aborts the process when the socket becomes writable.
+    struct after_poll {
+        h2o_timeout_entry_t entry{};
+        impl* owner = nullptr;
+    };
+
     h2o_evloop_t* loop = h2o_evloop_create();
+    h2o_timeout_t no_delay{};
+    after_poll turn;
     bool stopped = false;
-    // h2o runs the completions of writes that were started outside h2o_evloop_run (in timers, signals or before run())
-    // only after its next poll, so that poll must not wait.
+    // Completions of writes that were started before run() only run after the first poll, so that poll must not wait.
     bool work_started = true;
     timer_id next_id = 1;
     std::map<std::pair<time_point, timer_id>, timer> timers;
     std::unordered_map<timer_id, time_point> due_times;
     std::map<int, std::function<void()>> signal_callbacks;
 
+    impl() {
+        h2o_timeout_init(this->loop, &this->no_delay, 0);
+        this->turn.owner = this;
+        this->turn.entry.cb = [](h2o_timeout_entry_t* entry) {
+            auto& owner = *reinterpret_cast<after_poll*>(entry)->owner;
+            owner.run_due_timers();
+            owner.run_signal_callbacks();
+        };
+    }
+
     timer_id add(duration delay, duration period, std::function<void()> callback) {
         timer_id id = this->next_id++;
         this->schedule(id, steady_clock_ms::now() + delay, {period, std::move(callback)});
@@ -93,8 +112,8 @@
             wait = duration::zero();
         }
         h2o_evloop_run(this->loop, static_cast<std::int32_t>(wait.count()));
-        this->run_due_timers();
-        this->run_signal_callbacks();
+        h2o_timeout_link(this->loop, &this->no_delay, &this->turn.entry);
+        h2o_timeout_run(this->loop, &this->no_delay, h2o_now(this->loop));
     }
 };
 
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -184,3 +184,40 @@
     loop.run_for(ms(50));
     CHECK_FALSE(a.send("b", wire::config_ack_t{}));
 }
+
+// A write from a timer right after a completed partial write left h2o polling a socket without a write: it aborted the
+// process ("write_pending") when the socket became writable again. Seen on a leader that sent 18 MB to a new member.
+// The reader takes small steps, so that the partial write ends while the socket is still too full to count as writable.
+TEST_CASE("writes from timers to a slow reader do not abort the process") {
+    event_loop loop;
+    metric_registry metrics;
+    peer_transport a(loop, "test", "a", test_address(8010), metrics, [](const wire::envelope_t&) {});
+    sockaddr_storage address{};
+    socklen_t length = test_address(8011).to_sockaddr(address);
+    int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
+    REQUIRE(::listen(listener, 1) == 0);
+    a.add_peer("b", test_address(8011));
+    loop.run_for(ms(50));
+    int reader = ::accept(listener, nullptr, nullptr);
+    REQUIRE(reader >= 0);
+    std::size_t sent = 0;
+    loop.every(ms(10), [&] {
+        wire::config_part_t part;
+        part.data.assign(sent % 20 == 0 ? 8'000'000 : 200, 'x');
+        sent += a.send("b", std::move(part)) ? 1 : 0;
+    });
+    std::vector<char> buffer(100'000);
+    for (int step = 0; step < 600; ++step) {
+        loop.run_for(ms(2));
+        CHECK(::recv(reader, buffer.data(), buffer.size(), MSG_DONTWAIT) != 0);
+    }
+    ::close(reader);
+    ::close(listener);
+    std::string text = metrics.text();
+    CHECK(text.find("persimmongrade_peer_sent_messages_total{message=\"config_part\"} " + std::to_string(sent) +
+                    "\n") != std::string::npos);
+    CHECK(text.find("persimmongrade_peer_sent_bytes_total{message=\"config_part\"} ") != std::string::npos);
+    CHECK(text.find("process_cpu_seconds_total 0\n") == std::string::npos);
+    CHECK(text.find("process_cpu_seconds_total ") != std::string::npos);
+}
