Send large configuration changes to edges in parts

Cause: a change whose encoding exceeds a peer frame of 16 MiB closed the connection, so that an edge without a configuration never got one.

Change: a change above 4 MiB travels as config_part messages of at most 1 MiB, two in flight, each acknowledged. A transfer is named by the leader's term and a number; an edge collects the parts of the newest transfer only and checks the whole with XXH64 before it applies it. A transfer ends at its own revision; newer revisions follow as the next push, so that a series of changes cannot keep a starting edge from arriving. A request for a full copy because the edge is behind does not restart a transfer. Unanswered parts are sent again after 500 ms, doubled up to 4 s. config_ack names the edge's incarnation, so that acknowledgements of an earlier process do not count. Encoded changes are shared by all edges that need them.

Tests: a property with lost, repeated, delayed and reordered messages, newer revisions, changes of leader and restarts of the edge checks that each applied configuration equals a committed one, that revisions never fall and that the edge arrives at the newest.

--- a/include/persimmongrade/config_client.h
+++ b/include/persimmongrade/config_client.h
@@ -20,6 +20,7 @@
 
 #include "messages_generated.h"
 #include "persimmongrade/clock.h"
+#include "persimmongrade/config_transfer.h"
 
 namespace persimmongrade {
 
@@ -55,6 +56,7 @@
     config_actions receive(time_point now, const std::string& from, const wire::edge_pong_t& pong);
     config_actions receive(time_point now, const std::string& from, const wire::not_leader_t& answer);
     config_actions receive(time_point now, const std::string& from, const wire::config_push_t& push);
+    config_actions receive(time_point now, const std::string& from, const wire::config_part_t& part);
 
     bool lease_valid(time_point now) const noexcept { return now < this->lease_expires_at; }
     time_point lease_expiry() const noexcept { return this->lease_expires_at; }
@@ -71,7 +73,9 @@
 
     void extend(const pending_extension& extension);
     bool is_control(const std::string& id) const;
+    config_actions apply(const std::string& from, const wire::configuration_delta_t& delta);
     config_actions acknowledge(const std::string& to, bool need_full) const;
+    config_actions acknowledge(const std::string& to, const wire::config_part_t& part, bool need_full) const;
     void request_full_copy_when_behind(time_point now, config_actions& actions);
 
     config_client_options options;
@@ -85,6 +89,7 @@
     std::optional<pending_extension> pending;
     std::uint64_t committed = 0;  // highest committed revision stated by a leader
     std::optional<time_point> behind_since;
+    config_assembler assembler;
 };
 
 // Returns the configuration that results from a change. The base revision is not checked.
--- a/include/persimmongrade/distribution.h
+++ b/include/persimmongrade/distribution.h
@@ -18,6 +18,9 @@
 // and version, and its pong carries the entries changed since. Entries are never removed within a term. The applied
 // revision of an edge is not part of the list: edges do not use it, and each change would change every entry.
 //
+// Large changes. A change whose encoding exceeds `max_push_bytes` is sent in parts (config_transfer.h). A transfer ends
+// at its own revision even when newer ones are published meanwhile; these follow as the next push.
+//
 // In force. A revision is in force when each edge has applied it or the edge's configuration lease has expired. A new
 // leader assumes that every edge got a lease from its predecessor just before the change.
 
@@ -32,6 +35,7 @@
 
 #include "messages_generated.h"
 #include "persimmongrade/clock.h"
+#include "persimmongrade/config_transfer.h"
 #include "persimmongrade/record_store.h"
 
 namespace persimmongrade {
@@ -41,6 +45,8 @@
     duration alive_timeout = ms(1000);        // without a ping for this long, lookups exclude the edge
     duration publish_interval = ms(300);      // not a divisor of the ping period (250 ms), so that pings change phase
     duration resend_after = ms(500);          // an unacknowledged push is sent again
+    std::size_t max_push_bytes = 4u << 20;    // larger changes are sent in parts
+    config_transfer_options transfer;
 
     auto operator<=>(const distribution_options&) const = default;
 };
@@ -107,16 +113,26 @@
         std::uint64_t sent = 0;                            // revision of the push in flight; 0: none
         time_point sent_at{};                              // of that push
         bool needs_full = false;                           // the edge asked for a full copy
+        std::optional<config_transfer> transfer;           // in progress, instead of a push
         std::map<std::string, std::uint32_t> outstanding;  // requests by target, as of the last ping
         wire::edge_info_t listed;                          // as of the edge list's version `listed_at`
         std::uint64_t listed_at = 0;                       // 0: not in the list
     };
 
+    // A change to the published revision, shared by all edges that need it. One of the two is set.
+    struct prepared_change {
+        std::unique_ptr<wire::configuration_delta_t> small;
+        encoded_delta large;
+    };
+
     void take_over(time_point now, std::int64_t unix_now_ms);
     void update_entry(time_point now, edge_entry& entry, const wire::edge_ping_t& ping);
     bool publish_due(time_point now) const;
     void publish(time_point now);
+    const prepared_change& change_since(std::uint64_t base);
     void push_if_behind(time_point now, edge_entry& entry, std::vector<peer_message>& messages);
+    void push(time_point now, edge_entry& entry, std::vector<peer_message>& messages);
+    bool continue_transfer(time_point now, edge_entry& entry, std::vector<peer_message>& messages);
     wire::edge_info_t info_of(time_point now, const edge_entry& entry) const;
     void list_entry(time_point now, edge_entry& entry);
     void list_silent_edges(time_point now);
@@ -134,6 +150,8 @@
     std::int64_t unix_offset_ms = 0;  // Unix time minus local time, as of taking over
     std::uint64_t published = 0;
     std::optional<time_point> published_at;
+    std::map<std::uint64_t, prepared_change> changes;  // to the published revision, by base revision
+    std::uint64_t last_transfer = 0;
     std::map<std::string, drain_status> progress;       // by target
     std::uint64_t list_version = 0;                     // of the edge list, in this term
     std::map<std::uint64_t, const edge_entry*> listed;  // by the version of its last change
--- a/src/control/distribution.cpp
+++ b/src/control/distribution.cpp
@@ -64,6 +64,7 @@
 void distribution::publish(time_point now) {
     this->published = this->store.revision();
     this->published_at = now;
+    this->changes.clear();
 }
 
 void distribution::publish_if_due(time_point now) {
@@ -85,28 +86,71 @@
     return messages;
 }
 
+const distribution::prepared_change& distribution::change_since(std::uint64_t base) {
+    auto [found, added] = this->changes.try_emplace(base);
+    prepared_change& change = found->second;
+    if (!added) {
+        return change;
+    }
+    change.small = std::make_unique<wire::configuration_delta_t>(this->store.changes_since(base));
+    encoded_delta encoded = encode_delta(*change.small);
+    if (encoded->size() > this->options.max_push_bytes) {
+        change.large = std::move(encoded);
+        change.small.reset();
+    }
+    return change;
+}
+
 // Sends the changes that the edge lacks. One push is in flight at a time, so changes accepted meanwhile travel
 // together in the next one. The content is that of the newest revision, which is published with it.
 void distribution::push_if_behind(time_point now, edge_entry& entry, std::vector<peer_message>& messages) {
     bool reachable = entry.heard && now < entry.last_ping + this->options.alive_timeout;
+    if (!reachable || this->continue_transfer(now, entry, messages)) {
+        return;
+    }
     bool behind = entry.applied < this->published || entry.needs_full;
     bool waiting = entry.sent != 0 && now < entry.sent_at + this->options.resend_after;
-    if (!reachable || !behind || waiting) {
-        return;
+    if (behind && !waiting) {
+        this->push(now, entry, messages);
     }
+}
+
+void distribution::push(time_point now, edge_entry& entry, std::vector<peer_message>& messages) {
     if (this->published != this->store.revision()) {
         this->publish(now);
     }
+    const prepared_change& change = this->change_since(std::exchange(entry.needs_full, false) ? 0 : entry.applied);
+    if (change.large) {
+        transfer_name name{this->authority.term, ++this->last_transfer};
+        entry.sent = 0;
+        entry.transfer.emplace(this->options.transfer, name, this->published, change.large);
+        this->continue_transfer(now, entry, messages);
+        return;
+    }
     wire::config_push_t push;
     push.term = this->authority.term;
-    push.delta =
-        std::make_unique<wire::configuration_delta_t>(this->store.changes_since(entry.needs_full ? 0 : entry.applied));
-    entry.needs_full = false;
+    push.delta = std::make_unique<wire::configuration_delta_t>(*change.small);
     entry.sent = this->published;
     entry.sent_at = now;
     messages.push_back(make_message(entry.info.id, std::move(push)));
 }
 
+// Sends the parts that are due; false when no transfer is in progress, or none any more.
+bool distribution::continue_transfer(time_point now, edge_entry& entry, std::vector<peer_message>& messages) {
+    if (!entry.transfer) {
+        return false;
+    }
+    bool applied = entry.applied >= entry.transfer->revision();
+    if (applied || entry.transfer->without_effect(now)) {
+        entry.transfer.reset();
+        return false;
+    }
+    for (std::uint32_t part : entry.transfer->due(now)) {
+        messages.push_back(make_message(entry.info.id, entry.transfer->message(part)));
+    }
+    return true;
+}
+
 std::vector<peer_message> distribution::on_ack(time_point now, const wire::config_ack_t& ack) {
     std::vector<peer_message> messages;
     auto found = this->entries.find(ack.edge);
@@ -114,8 +158,22 @@
         return messages;
     }
     edge_entry& entry = found->second;
+    bool earlier_process = ack.incarnation != 0 && ack.incarnation != entry.info.incarnation;
+    bool earlier_transfer = ack.transfer != 0 && (!entry.transfer || entry.transfer->number() != ack.transfer);
+    if (earlier_process || earlier_transfer) {
+        return messages;
+    }
     entry.sent = 0;
-    entry.needs_full = ack.need_full;
+    if (entry.transfer && ack.transfer != 0) {
+        entry.transfer->acknowledge(ack.part, now);
+    }
+    // An edge that waits for a transfer also asks for a full copy, because it is behind. Only when it could not use
+    // the parts is the transfer given up: otherwise a slow transfer would start again and again.
+    bool gives_up = ack.need_full && ack.transfer != 0;
+    if (gives_up) {
+        entry.transfer.reset();
+    }
+    entry.needs_full = ack.need_full && !entry.transfer;
     if (!ack.need_full) {
         entry.applied = std::max(entry.applied, ack.revision);
     }
@@ -164,6 +222,7 @@
     if (!entry.heard || ping.incarnation != entry.info.incarnation) {
         entry.applied = 0;  // a restarted edge has lost its configuration
         entry.sent = 0;
+        entry.transfer.reset();
     }
     entry.heard = true;
     entry.last_ping = now;
--- a/src/edge/config_client.cpp
+++ b/src/edge/config_client.cpp
@@ -119,7 +119,10 @@
     if (!this->is_control(from) || !push.delta) {
         return {};
     }
-    const wire::configuration_delta_t& delta = *push.delta;
+    return this->apply(from, *push.delta);
+}
+
+config_actions config_client::apply(const std::string& from, const wire::configuration_delta_t& delta) {
     if (delta.revision <= this->revision()) {
         return this->acknowledge(from, false);
     }
@@ -135,6 +138,33 @@
     return actions;
 }
 
+config_actions config_client::receive(time_point now, const std::string& from, const wire::config_part_t& part) {
+    if (!this->is_control(from) || part.term < this->leader_term) {
+        return {};
+    }
+    if (part.revision <= this->revision()) {
+        return this->acknowledge(from, part, false);
+    }
+    switch (this->assembler.receive(part)) {
+    case part_outcome::ignored:
+        return {};
+    case part_outcome::stored:
+        if (this->behind_since) {
+            this->behind_since = now;  // the transfer makes progress
+        }
+        return this->acknowledge(from, part, false);
+    case part_outcome::repeated:
+        return this->acknowledge(from, part, false);
+    case part_outcome::damaged:
+        return this->acknowledge(from, part, true);
+    case part_outcome::complete:
+        break;
+    }
+    config_actions actions = this->apply(from, *this->assembler.take());
+    actions.messages = std::move(this->acknowledge(from, part, !actions.applied).messages);
+    return actions;
+}
+
 void config_client::extend(const pending_extension& extension) {
     if (this->revision() < extension.committed_revision) {
         this->pending = extension;
@@ -153,6 +183,7 @@
     ack.edge = this->options.edge;
     ack.revision = this->revision();
     ack.need_full = need_full;
+    ack.incarnation = this->options.incarnation;
     config_actions actions;
     wire::messageUnion message;
     message.Set(std::move(ack));
@@ -160,6 +191,15 @@
     return actions;
 }
 
+config_actions config_client::acknowledge(const std::string& to, const wire::config_part_t& part,
+                                          bool need_full) const {
+    config_actions actions = this->acknowledge(to, need_full);
+    wire::config_ack_t& ack = *actions.messages.front().message.Asconfig_ack();
+    ack.transfer = part.transfer;
+    ack.part = part.part;
+    return actions;
+}
+
 // The leader pushes on its own when a ping shows an old revision; this covers pushes that keep getting lost.
 void config_client::request_full_copy_when_behind(time_point now, config_actions& actions) {
     if (this->revision() >= this->committed) {
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -202,6 +202,9 @@
         case wire::message::config_push:
             this->perform(this->edge.config.receive(now, envelope.from, *body.Asconfig_push()));
             return;
+        case wire::message::config_part:
+            this->perform(this->edge.config.receive(now, envelope.from, *body.Asconfig_part()));
+            return;
         case wire::message::target_update:
             this->apply_update(*body.Astarget_update());
             return;
