Test killed, stopped and full leaders under a stream of submissions; type two refusals

Cause: nothing compared what a stream of submissions was told with what the cluster held after faults. Such tests found: a process whose file size limit is reached was ended by SIGXFSZ; a leader whose log could not be written answered not_leader with its own address; a record above the limit of a log entry got bad_request.

Change: the control daemon ignores SIGXFSZ, so that the write fails and is handled like a full disk. A process with a failed log answers 503 storage_failed (not_run) and names no leader. A record above 8 MiB in the log is refused with 413 record_too_large. persimmonctl explains both.

Tests (tests/control/test_processes.cpp): two leaders killed in turn, a leader stopped beyond its lease, and a leader whose writes fail, each during a stream of a submission every 10 ms; at the end each acknowledged submission is held at its revision, none refused as not run is held, and a resend of the rest gets an answer. A configuration of 12 records above 16 MiB reaches a restarted edge within 18 s and a replaced control process. The file uses tests/support/child_process.h; checks of the earlier tests are the same. Their wait for an exit is now bounded (20 s).

RLIMIT_FSIZE stands in for a full disk.

--- a/daemons/persimmongrade-control.cpp
+++ b/daemons/persimmongrade-control.cpp
@@ -19,6 +19,9 @@
 constexpr int exit_usage = 2;  // bad command line or settings
 
 int run(const po::variables_map& options, const wire::control_settings_t& settings) {
+    // A write beyond the limit of file sizes then fails with EFBIG and is handled like a full disk; the default action
+    // of the signal ends the process.
+    std::signal(SIGXFSZ, SIG_IGN);
     event_loop loop;
     control_server server(loop, settings, {.bootstrap = options.count("bootstrap") > 0});
     loop.on_signal(SIGTERM, [&] { server.stop(); });
--- a/src/control/consensus_driver.h
+++ b/src/control/consensus_driver.h
@@ -49,7 +49,8 @@
     }
 
     const std::string& id() const { return this->core.id(); }
-    const std::string& leader_id() const { return this->core.leader_id(); }
+    // Empty after a storage failure: the core still holds what it knew then, perhaps that this process is the leader.
+    std::string leader_id() const { return this->failed() ? std::string() : this->core.leader_id(); }
     std::uint64_t term() const { return this->core.term(); }
     std::uint64_t commit_index() const { return this->core.commit_index(); }
     const wire::voter_set_t& voters() const { return this->core.voters(); }
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -30,6 +30,8 @@
     {operator_error::stopping, "stopping", 503, "not_run", true},
     {operator_error::outcome_unknown, "outcome_unknown", 504, "unknown", true},
     {operator_error::internal_error, "internal_error", 500, "unknown", false},
+    {operator_error::record_too_large, "record_too_large", 413, "not_run", false},
+    {operator_error::storage_failed, "storage_failed", 503, "not_run", true},
 }};
 
 const error_form& form_of(operator_error type) {
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -30,8 +30,13 @@
     stopping,
     outcome_unknown,
     internal_error,
+    record_too_large,
+    storage_failed,
 };
-inline constexpr std::size_t operator_error_count = 10;
+inline constexpr std::size_t operator_error_count = 12;
+
+// Limit of one log entry: one encoded command must fit a peer frame of 16 MiB with room to spare.
+inline constexpr std::size_t max_command_bytes = 8u << 20;
 
 const char* to_string(operator_error type);
 
--- a/src/control/operator_routes.cpp
+++ b/src/control/operator_routes.cpp
@@ -29,6 +29,11 @@
     if (!exchange) {
         return;
     }
+    if (this->log.failed()) {
+        this->refuse(exchange, operator_error::storage_failed,
+                     "this process cannot write its log; ask another one, and restart it when its disk accepts writes");
+        return;
+    }
     std::string leader = this->name_of(this->log.leader_id());
     std::string address = this->http_address_of(leader);
     if (this->log.is_leader() || address.empty()) {
--- a/src/control/submissions.cpp
+++ b/src/control/submissions.cpp
@@ -12,7 +12,6 @@
 constexpr duration publication_delay = distribution_options{}.publish_interval + 2 * distribution_tick;
 constexpr duration submission_timeout = ms(5000);  // then the answer is outcome_unknown
 constexpr std::size_t max_pending_submissions = 10000;
-constexpr std::size_t max_command_bytes = 8u << 20;  // must fit one peer frame with room to spare
 
 }  // namespace
 
@@ -25,7 +24,9 @@
     command.body = std::move(body);
     byte_string payload = encode_command(command);
     if (payload.size() > max_command_bytes) {
-        this->refuse(exchange, operator_error::bad_request, "the record is too large for one log entry");
+        this->refuse(exchange, operator_error::record_too_large,
+                     "the record takes " + std::to_string(payload.size()) + " bytes in the log, at most " +
+                         std::to_string(max_command_bytes) + " are allowed");
         return;
     }
     this->queue.push_back({std::move(payload), std::move(exchange), this->loop.now()});
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -5,50 +5,25 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
-#include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
+#include <set>
 
+#include <sys/resource.h>
+
+#include "../support/child_process.h"
 #include "common_generated.h"
 #include "persimmongrade/http_client.h"
 
 using namespace persimmongrade;
 using nlohmann::json;
 
-extern char** environ;
-
 namespace {
 
-std::string bin(const std::string& program) {
-    const char* directory = std::getenv("PERSIMMONGRADE_BIN");
-    return std::string(directory == nullptr ? "build/bin" : directory) + "/" + program;
-}
-
-pid_t spawn(std::vector<std::string> words) {
-    std::vector<char*> arguments;
-    for (std::string& word : words) {
-        arguments.push_back(word.data());
-    }
-    arguments.push_back(nullptr);
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, 1, "/dev/null", O_WRONLY, 0);
-    posix_spawn_file_actions_addopen(&files, 2, "/dev/null", O_WRONLY, 0);
-    pid_t pid = 0;
-    int failure = posix_spawn(&pid, words[0].c_str(), &files, nullptr, arguments.data(), environ);
-    posix_spawn_file_actions_destroy(&files);
-    REQUIRE(failure == 0);
-    return pid;
-}
+constexpr std::chrono::milliseconds exit_limit{20000};
 
-int exit_status(pid_t pid) {
-    int status = 0;
-    waitpid(pid, &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+int run_program(const std::string& program, const std::vector<std::string>& arguments) {
+    return child_process(program, arguments, "/dev/null").wait(exit_limit);
 }
 
 // Three control processes on one loopback address of this test process.
@@ -61,7 +36,8 @@
     std::filesystem::path directory =
         std::filesystem::temp_directory_path() /
         ("persimmongrade-control-" + std::to_string(getpid()) + "-" + std::to_string(base));
-    std::vector<pid_t> pids = std::vector<pid_t>(size, 0);
+    std::map<int, child_process> processes;
+    std::optional<child_process> edge;
     event_loop loop;
     http_client client{loop};
 
@@ -74,9 +50,8 @@
     }
 
     ~cluster() {
-        for (int i = 0; i < size; ++i) {
-            this->kill(i);
-        }
+        this->processes.clear();
+        this->edge.reset();
         std::filesystem::remove_all(this->directory);
     }
 
@@ -95,29 +70,42 @@
             out << "  - {id: " << this->name(k) << ", address: \"" << this->peer(k) << "\", http_address: \""
                 << this->http(k) << "\", region: north, zone: north-a}\n";
         }
-        out << "edges:\n  - {id: edge-1, address: \"127.0.3.1:1\", region: north, zone: north-a}\n";
+        out << "edges:\n  - {id: edge-1, address: \"" << this->ip << ":" << this->base + 2 * size
+            << "\", region: north, zone: north-a}\n";
     }
 
     void start(int i, bool bootstrap) {
-        std::vector<std::string> words = {bin("persimmongrade-control"), "--config", this->file(i)};
+        std::vector<std::string> words = {"--config", this->file(i)};
         if (bootstrap) {
             words.emplace_back("--bootstrap");
         }
-        this->pids[i] = spawn(std::move(words));
+        this->processes.insert_or_assign(i, child_process("persimmongrade-control", words, "/dev/null"));
     }
 
-    void kill(int i) {
-        if (this->pids[i] != 0) {
-            ::kill(this->pids[i], SIGKILL);
-            exit_status(this->pids[i]);
-            this->pids[i] = 0;
+    void kill(int i) { this->processes.erase(i); }
+
+    child_process& process(int i) { return this->processes.at(i); }
+
+    void start_edge() {
+        std::string settings = this->directory / "edge-1.yaml";
+        std::ofstream out(settings);
+        out << "cluster: test\nid: edge-1\nregion: north\nzone: north-a\nhttp_address: " << this->ip << ":"
+            << this->base + 2 * size + 1 << "\npeer_address: " << this->ip << ":" << this->base + 2 * size
+            << "\ncontrol:\n";
+        for (int k = 0; k < size; ++k) {
+            out << "  - {id: " << this->name(k) << ", address: \"" << this->peer(k) << "\", region: north, zone: n}\n";
         }
+        out << "edges:\n  - {id: edge-1, address: \"" << this->ip << ":" << this->base + 2 * size
+            << "\", region: north, zone: north-a}\n";
+        out.close();
+        this->edge.emplace("persimmongrade-edge", std::vector<std::string>{"--config", settings, "--bootstrap"},
+                           "/dev/null");
     }
 
     // Status code 0 when there is no answer within the limit.
     http_response call(int i, const std::string& method, const std::string& target, const std::string& id = "",
                        const std::string& body = "", duration limit = ms(700)) {
-        http_call request{ip_address::parse(this->http(i)), method, target, {}, body};
+        http_call request{ip_address::parse(this->http(i)), method, target, {}, body, 16u << 20};
         request.reuse_connection = false;
         if (!id.empty()) {
             request.headers.push_back({"submission-id", id});
@@ -140,10 +128,10 @@
 
     // Asks each process in turn until one gives an answer as leader, at most for 10 s. Resends keep the id.
     json ask(const std::string& method, const std::string& target, const std::string& id = "",
-             const std::string& body = "") {
+             const std::string& body = "", duration limit = ms(700)) {
         time_point latest = this->loop.now() + ms(10000);
         for (int i = 0; this->loop.now() < latest; ++i) {
-            http_response response = this->call(i % size, method, target, id, body);
+            http_response response = this->call(i % size, method, target, id, body, limit);
             bool final_answer = response.status != 0 && response.status != 421 && response.status < 500;
             if (final_answer) {
                 return json::parse(response.body);
@@ -166,6 +154,137 @@
     }
 };
 
+// Submits a record every 10 ms to the process that it believes to be the leader, without waiting for answers, and keeps
+// what was acknowledged and how the rest was refused.
+struct submission_stream {
+    cluster& c;
+    std::string prefix;
+    int target = 0;
+    int sent = 0;
+    int open = 0;
+    std::map<std::string, std::uint64_t> accepted;  // revision by id
+    std::map<std::string, int> refused;             // by type; "no answer" when the process gave none
+    std::set<std::string> not_run;                  // ids whose refusal says that they were not run
+    timer_id timer;
+
+    submission_stream(cluster& c, std::string prefix) : c(c), prefix(std::move(prefix)), target(c.leader()) {
+        this->timer = c.loop.every(ms(10), [this] { this->submit(); });
+    }
+
+    ~submission_stream() { this->stop(); }
+
+    void stop() {
+        this->c.loop.cancel(this->timer);
+        this->run_until([this] { return this->open == 0; });
+    }
+
+    void submit() {
+        std::string id = this->prefix + std::to_string(this->sent++);
+        int asked = this->target;
+        http_call request{ip_address::parse(this->c.http(asked)),
+                          "POST",
+                          "/v1/records",
+                          {{"submission-id", id}},
+                          "schema_version: 1\nname: " + id +
+                              "\nversion: 1\nregion_limits: {north: 900}\nservices: {}\n"};
+        request.reuse_connection = false;
+        ++this->open;
+        auto done = std::make_shared<bool>(false);
+        call_id number =
+            this->c.client.send(std::move(request), [this, id, asked, done](const http_call_result& result) {
+                *done = true;
+                this->finish(id, asked, result);
+            });
+        this->c.loop.after(ms(1500), [this, id, asked, done, number] {
+            if (!*done) {
+                this->c.client.cancel(number);
+                this->finish(id, asked, {http_call_status::connection_lost, {}});
+            }
+        });
+    }
+
+    void finish(const std::string& id, int asked, const http_call_result& result) {
+        --this->open;
+        json body = result.status == http_call_status::ok ? json::parse(result.response.body, nullptr, false) : json();
+        if (result.status == http_call_status::ok && result.response.status == 200) {
+            this->accepted[id] = body["revision"];
+            return;
+        }
+        bool typed = body.is_object() && body.contains("error") && body.contains("outcome");
+        ++this->refused[result.status != http_call_status::ok ? "no answer" : typed ? body["error"] : "untyped"];
+        if (typed && body["outcome"] == "not_run") {
+            this->not_run.insert(id);
+        }
+        if (this->target == asked) {
+            std::string leader = typed ? body.value("leader", "") : "";
+            this->target = leader.empty() ? (asked + 1) % cluster::size : leader.back() - '1';
+        }
+    }
+
+    template <typename Condition>
+    void run_until(Condition reached) {
+        time_point latest = this->c.loop.now() + ms(10000);
+        while (!reached() && this->c.loop.now() < latest) {
+            this->c.loop.run_for(ms(20));
+        }
+        CHECK(reached());
+    }
+
+    // Runs until `count` more submissions are acknowledged.
+    void run_until_accepted(std::size_t count) {
+        std::size_t wanted = this->accepted.size() + count;
+        this->run_until([&] { return this->accepted.size() >= wanted; });
+    }
+
+    // What was acknowledged is in the cluster at its revision, what was refused as not run is not, and a resend of the
+    // rest gets an answer.
+    void compare() {
+        this->stop();
+        std::map<std::string, std::uint64_t> held;
+        json listed = this->c.ask("GET", "/v1/records");
+        for (const json& record : listed["records"]) {
+            held[record["name"]] = record["revision"];
+        }
+        std::set<std::uint64_t> revisions;
+        for (const auto& [id, revision] : this->accepted) {
+            INFO(id);
+            CHECK(held[id] == revision);
+            CHECK(revisions.insert(revision).second);
+        }
+        for (const std::string& id : this->not_run) {
+            INFO(id);
+            CHECK_FALSE(held.contains(id));
+        }
+        CHECK(this->refused["untyped"] == 0);
+        for (int i = 0; i < this->sent; ++i) {
+            std::string id = this->prefix + std::to_string(i);
+            if (!this->accepted.contains(id)) {
+                CHECK(this->c.submit(id, id, 1)["status"] == "accepted");
+            }
+        }
+        CHECK(this->c.ask("GET", "/v1/records")["records"].size() == static_cast<std::size_t>(this->sent));
+    }
+};
+
+// A record with client blocks whose encoding takes about 112 bytes for each; the YAML text stays below 1 MiB.
+std::string large_record(int number, int blocks, int services = 0) {
+    std::string region(60, 'n');
+    std::string text = "schema_version: 1\nname: large-" + std::to_string(number) + "\nversion: 1\nregion_limits:\n";
+    for (int i = 0; i < (services > 0 ? 64 : 1); ++i) {
+        text += "  " + region + std::to_string(10 + i) + ": 900\n";
+    }
+    text += services > 0 ? "services:\n" : "services: {}\n";
+    for (int i = 0; i < services; ++i) {
+        text += "  s" + std::to_string(i) + ": {idempotent: true, slots: 1, connections: 1}\n";
+    }
+    std::string network = "  " + std::to_string(10 + number) + ".";
+    text += "clients:\n" + network + "0.0.0/24: &r " + region + "10\n";
+    for (int i = 1; i < blocks; ++i) {
+        text += network + std::to_string(i / 256) + "." + std::to_string(i % 256) + ".0/24: *r\n";
+    }
+    return text;
+}
+
 }  // namespace
 
 TEST_CASE("accepted submissions survive kill -9 of two leaders in turn and then of all processes") {
@@ -208,7 +327,7 @@
     cluster c;
     c.submit("1", "r", 1);
     int old_leader = c.leader();
-    ::kill(c.pids[old_leader], SIGSTOP);
+    c.process(old_leader).signal(SIGSTOP);
     CHECK(c.submit("2", "r", 2)["status"] == "accepted");
     int new_leader = c.leader();
     json before = c.ask("GET", "/v1/status");
@@ -218,7 +337,7 @@
     http_call read{ip_address::parse(c.http(old_leader)), "GET", "/v1/records/r"};
     c.client.send(std::move(read), [&](const http_call_result& result) { stale = result.response; });
     c.loop.run_for(ms(100));
-    ::kill(c.pids[old_leader], SIGCONT);
+    c.process(old_leader).signal(SIGCONT);
     c.loop.run_for(ms(800));
     CHECK((stale.status == 421 || stale.status == 503));
     CHECK(c.call(old_leader, "GET", "/v1/records/r").status == 421);
@@ -295,8 +414,8 @@
     cluster c;
     c.submit("1", "r", 1);
     int leader = c.leader();
-    ::kill(c.pids[leader], SIGTERM);
-    CHECK(exit_status(std::exchange(c.pids[leader], 0)) == 0);
+    c.process(leader).signal(SIGTERM);
+    CHECK(c.process(leader).wait(exit_limit) == 0);
     time_point stopped = c.loop.now();
     CHECK(c.submit("2", "r", 2)["status"] == "accepted");
     CHECK(c.loop.now() - stopped < ms(400));  // an election without a transfer takes at least its timeout
@@ -310,8 +429,8 @@
                               << "\nregion_limits: {north: " << limit << "}\nservices: {}\n";
     };
     auto run = [&](std::vector<std::string> words) {
-        words.insert(words.begin(), {bin("persimmonctl"), "--control", c.http(0), "--control", c.http(1)});
-        return exit_status(spawn(std::move(words)));
+        words.insert(words.begin(), {"--control", c.http(0), "--control", c.http(1)});
+        return run_program("persimmonctl", words);
     };
     write(1, 900);
     CHECK(run({"submit", record}) == 0);
@@ -331,13 +450,13 @@
     }
     std::string settings = c.directory / "ctl.yaml";
     std::ofstream(settings) << "control: [\"" << c.http(2) << "\"]\noutput: json\n";
-    CHECK(exit_status(spawn({bin("persimmonctl"), "--config", settings, "status"})) == 0);
+    CHECK(run_program("persimmonctl", {"--config", settings, "status"}) == 0);
     std::ofstream(settings) << "contrl: []\n";
-    CHECK(exit_status(spawn({bin("persimmonctl"), "--config", settings, "--check-config"})) == 2);
+    CHECK(run_program("persimmonctl", {"--config", settings, "--check-config"}) == 2);
     int leader = c.leader();
     for (int i = 0; i < cluster::size; ++i) {
         if (i != leader) {
-            ::kill(c.pids[i], SIGSTOP);
+            c.process(i).signal(SIGSTOP);
         }
     }
     int code = run({"undrain", "t1", "--timeout-ms", "1000"});
@@ -347,7 +466,150 @@
     }
     CHECK(run({"list", "--timeout-ms", "300"}) == 4);
     std::ofstream(c.file(0), std::ios::app) << "snapshot_entires: 3\n";
-    CHECK(exit_status(spawn({bin("persimmongrade-control"), "--config", c.file(0), "--check-config"})) == 2);
-    CHECK(exit_status(spawn({bin("persimmongrade-control"), "--config", c.file(1), "--check-config"})) == 0);
-    CHECK(exit_status(spawn({bin("persimmongrade-control"), "--help"})) == 0);
+    CHECK(run_program("persimmongrade-control", {"--config", c.file(0), "--check-config"}) == 2);
+    CHECK(run_program("persimmongrade-control", {"--config", c.file(1), "--check-config"}) == 0);
+    CHECK(run_program("persimmongrade-control", {"--help"}) == 0);
+}
+
+TEST_CASE("two leaders killed in turn during a stream of submissions lose nothing acknowledged") {
+    cluster c;
+    submission_stream stream(c, "s");
+    for (int round = 0; round < 2; ++round) {
+        stream.run_until_accepted(50);
+        int victim = c.leader();
+        c.kill(victim);
+        stream.run_until_accepted(50);
+        c.start(victim, false);
+    }
+    stream.compare();
+}
+
+TEST_CASE("a leader stopped beyond its lease during a stream neither accepts nor serves as current") {
+    cluster c;
+    submission_stream stream(c, "s");
+    stream.run_until_accepted(50);
+    int old_leader = c.leader();
+    c.process(old_leader).signal(SIGSTOP);
+    c.loop.run_for(ms(100));  // submissions now wait in the sockets of the stopped process
+    stream.run_until_accepted(50);
+    REQUIRE(c.leader() != old_leader);
+    json answers;
+    auto ask_stopped = [&](const std::string& name, const std::string& method, const std::string& path) {
+        http_call request{ip_address::parse(c.http(old_leader)),
+                          method,
+                          path,
+                          {{"submission-id", "late"}},
+                          "schema_version: 1\nname: late\nversion: 1\nregion_limits: {north: 900}\nservices: {}\n"};
+        request.reuse_connection = false;
+        c.client.send(std::move(request), [&answers, name](const http_call_result& result) {
+            answers[name] = result.status == http_call_status::ok ? result.response.status : 0;
+        });
+    };
+    ask_stopped("read", "GET", "/v1/records");
+    ask_stopped("submission", "POST", "/v1/records");
+    c.loop.run_for(ms(50));
+    c.process(old_leader).signal(SIGCONT);
+    stream.run_until([&] { return answers.size() == 2; });
+    CHECK((answers["read"] == 421 || answers["read"] == 503));
+    CHECK((answers["submission"] == 421 || answers["submission"] == 503));
+    stream.run_until_accepted(50);
+    CHECK(c.call(c.leader(), "GET", "/v1/records/late").status == 404);
+    stream.compare();
+}
+
+// RLIMIT_FSIZE stands in for a full disk: writes fail with EFBIG.
+TEST_CASE("a disk that refuses writes on the leader loses nothing acknowledged, and the refusal is typed") {
+    cluster c;
+    submission_stream stream(c, "s");
+    stream.run_until_accepted(50);
+    int full = c.leader();
+    rlimit none{0, RLIM_INFINITY};
+    REQUIRE(prlimit(c.process(full).id(), RLIMIT_FSIZE, &none, nullptr) == 0);
+    stream.run_until_accepted(100);  // through another leader
+    REQUIRE(c.process(full).running());
+    CHECK(c.leader() != full);
+    http_response refusal = c.call(full, "POST", "/v1/records", "refused",
+                                   "schema_version: 1\nname: refused\n"
+                                   "version: 1\nregion_limits: {north: 900}\nservices: {}\n");
+    CHECK(refusal.status == 503);
+    CHECK(json::parse(refusal.body)["error"] == "storage_failed");
+    CHECK(json::parse(refusal.body)["outcome"] == "not_run");
+    rlimit unlimited{RLIM_INFINITY, RLIM_INFINITY};
+    REQUIRE(prlimit(c.process(full).id(), RLIMIT_FSIZE, &unlimited, nullptr) == 0);
+    c.loop.run_for(ms(200));
+    CHECK(c.call(full, "GET", "/readyz").status == 503);  // its log may end in half an entry until it is restarted
+    c.kill(full);
+    c.start(full, false);
+    stream.run_until_accepted(20);
+    stream.run_until([&] { return c.call(full, "GET", "/readyz").status == 200; });
+    int other = c.leader();
+    if (other != full) {  // the repaired process is needed for the majority from now on
+        c.kill(other);
+    } else {
+        c.kill((full + 1) % cluster::size);
+    }
+    stream.run_until_accepted(20);
+    CHECK(stream.refused.contains("storage_failed"));
+    stream.compare();
+}
+
+TEST_CASE("a configuration above one peer frame reaches edges and a replaced control process") {
+    constexpr int records = 12;
+    constexpr duration in_force_limit = ms(18000);  // docs/design.md, section 2
+    cluster c;
+    c.start_edge();
+    json answer;
+    for (int i = 0; i < records; ++i) {
+        std::string id = std::to_string(i);
+        answer = c.ask("POST", "/v1/records", id, large_record(i, 15000), ms(5000));
+        REQUIRE(answer["status"] == "accepted");
+    }
+    auto in_force = [&] {
+        time_point latest = c.loop.now() + in_force_limit;
+        while (c.loop.now() < latest) {
+            json status = c.ask("GET", "/v1/status");
+            bool applied = !status["edges"].empty() && status["edges"][0]["alive"] == true &&
+                           status["edges"][0]["applied_revision"] == status["revision"];
+            if (applied && status["in_force"] == true && status["revision"] == answer["revision"]) {
+                return true;
+            }
+            c.loop.run_for(ms(50));
+        }
+        return false;
+    };
+    CHECK(in_force());
+    c.edge.reset();
+    c.start_edge();  // needs a full copy now
+    c.loop.run_for(ms(300));
+    CHECK(in_force());
+    std::string metrics = c.call(c.leader(), "GET", "/metrics").body;
+    std::string counted = "persimmongrade_peer_sent_messages_total{message=\"config_part\"} ";
+    std::size_t at = metrics.find(counted);
+    REQUIRE(at != std::string::npos);
+    CHECK(std::stoi(metrics.substr(at + counted.size())) > 16);  // of 1 MiB
+    int lost = (c.leader() + 1) % cluster::size;
+    c.kill(lost);
+    std::filesystem::remove_all(c.data(lost));
+    c.start(lost, false);
+    bool replaced = false;
+    for (int i = 0; i < 200 && !replaced; ++i) {
+        c.loop.run_for(ms(50));
+        json members = c.ask("GET", "/v1/status")["members"];
+        for (const json& member : members) {
+            bool renewed = std::string(member["id"]).starts_with(c.name(lost) + ".") && member["voting"] == true;
+            replaced = replaced || (renewed && members.size() == 3);
+        }
+    }
+    REQUIRE(replaced);
+    c.kill(c.leader());
+    CHECK(c.ask("GET", "/v1/status")["revision"] == answer["revision"]);
+    CHECK(in_force());  // through a leader that has not sent this configuration before
+}
+
+TEST_CASE("a record above the limit of one log entry is refused with a type of its own") {
+    cluster c;
+    json answer = c.ask("POST", "/v1/records", "1", large_record(1, 40000, 1000), ms(5000));
+    CHECK(answer["error"] == "record_too_large");
+    CHECK(answer["outcome"] == "not_run");
+    CHECK(c.ask("GET", "/v1/status")["revision"] == 0);
 }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -57,6 +57,8 @@
         return *this;
     }
 
+    pid_t id() const { return this->pid; }
+
     void signal(int number) const { ::kill(this->pid, number); }
 
     void kill_now() {
--- a/tools/persimmonctl.cpp
+++ b/tools/persimmonctl.cpp
@@ -393,6 +393,11 @@
     {"bad_request", "The request is malformed: a header, the query or the body. Nothing was changed."},
     {"invalid_record", "The record has faults, listed under \"problems\" with path, line and reason, or declares a "
                        "service of another record. Nothing was changed."},
+    {"record_too_large", "The record exceeds 8 MiB in the replicated log. Split it into several records. Nothing was "
+                         "changed."},
+    {"storage_failed",
+     "The control process cannot write its log and takes no part until it is restarted. Free its disk "
+     "and restart it; meanwhile the others go on. Nothing was changed."},
     {"version_conflict", "Another content is accepted at this version or a higher one. Read the record with `get`, "
                          "merge, and amend with a higher version. Nothing was changed."},
     {"not_found", "There is no such record, drain or path. Nothing was changed."},
