--- a/daemons/persimmongrade-control.cpp
+++ b/daemons/persimmongrade-control.cpp
@@ -12,6 +12,9 @@
 using namespace persimmongrade;
 
 int run(const wire::control_settings_t& settings, const control_options& options) {
+    // A write beyond the limit of file sizes then fails with EFBIG and is handled like a full disk; the default action
+    // of the signal ends the process.
+    std::signal(SIGXFSZ, SIG_IGN);
     event_loop loop;
     control_server server(loop, settings, options);
     loop.on_signal(SIGTERM, [&] { server.stop(); });
--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -10,6 +10,8 @@
 //
 // Incarnations. A host can be replaced under the same id while the old process still runs. Messages of an incarnation
 // older than the newest one known of the peer are dropped and counted, and none is sent over a connection it opened.
+//
+// Metrics: bytes (frame headers included) and messages, sent and received, with the label `message` for the type.
 
 #pragma once
 
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -32,8 +32,13 @@
     internal_error,
     request_incomplete,
     request_too_large,
+    record_too_large,
+    storage_failed,
 };
-inline constexpr std::size_t operator_error_count = 12;
+inline constexpr std::size_t operator_error_count = 14;
+
+// Limit of one log entry: one encoded command must fit a peer frame of 16 MiB with room to spare.
+inline constexpr std::size_t max_command_bytes = 8u << 20;
 
 const char* to_string(operator_error type);
 
