--- a/tests/load/deployment.h
+++ b/tests/load/deployment.h
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "../support/child_process.h"
@@ -21,6 +22,12 @@
 // Largest wait for a process or a configuration before a test fails.
 inline constexpr duration deployment_timeout = ms(20000);
 
+struct deployment_options {
+    bool two_zones = false;     // per region: of every six hosts of a kind the last three are in zone b
+    std::string shift;          // cap of both services, such as "{max_permille: 200, interval_ms: 2000}"
+    std::string client_blocks;  // list of the record, such as "[{prefix: 127.0.0.0/8, region: north}]"
+};
+
 class deployment {
 public:
     static constexpr std::size_t control_count = 3;
@@ -32,7 +39,7 @@
     std::map<std::string, child_process> processes;
     std::filesystem::path directory;
 
-    explicit deployment(const std::string& name) {
+    explicit deployment(const std::string& name, deployment_options given = {}) : layout(std::move(given)) {
         static int count = 0;
         int process = getpid();
         this->net = "127." + std::to_string(40 + process % 100) + "." + std::to_string(process / 100 % 250) + ".";
@@ -77,8 +84,8 @@
     void start_target(const std::string& service, std::size_t i) {
         std::string id = service + "-" + std::to_string(i);
         std::ostringstream text;
-        text << "id: " << id << "\nservice: " << service << "\nregion: " << region(i) << "\nzone: " << region(i)
-             << "-a\nhttp_address: \"" << this->target_address(service, i) << "\"\nedges: [";
+        text << "id: " << id << "\nservice: " << service << "\nregion: " << region(i) << "\nzone: " << this->zone(i)
+             << "\nhttp_address: \"" << this->target_address(service, i) << "\"\nedges: [";
         for (std::size_t edge = 1; edge <= edge_count; ++edge) {
             text << (edge == 1 ? "" : ", ") << '"' << this->address("edge", (edge + i - 2) % edge_count + 1, 8000)
                  << '"';
@@ -121,6 +128,7 @@
         static int number = 0;
         std::string submission = "test-" + std::to_string(getpid()) + "-" + std::to_string(number++);
         time_point until = this->loop.now() + deployment_timeout;
+        std::string answer;
         while (this->loop.now() < until) {
             for (std::size_t i = 1; i <= control_count; ++i) {
                 auto result = this->call(this->address("control", i, 8100), method, target, body,
@@ -128,10 +136,11 @@
                 if (result.status == http_call_status::ok && result.response.status < 300) {
                     return;
                 }
+                answer = result.response.status == 421 ? answer : result.response.body;
             }
             this->loop.run_for(ms(50));
         }
-        FAIL("no control process accepted " << method << " " << target);
+        FAIL("no control process accepted " << method << " " << target << ": " << answer);
     }
 
     // Submits the steering record of both services with the given version and region limit.
@@ -142,7 +151,8 @@
             record << "  - name: " << service
                    << "\n    idempotent: " << (std::string(service) == "look" ? "true" : "false")
                    << "\n    regions: [north, central, south]\n    slots_per_target: 8\n"
-                   << "    connections_per_target: 100\n";
+                   << "    connections_per_target: 100\n"
+                   << (this->layout.shift.empty() ? "" : "    shift: " + this->layout.shift + "\n");
         }
         record << "regions:\n";
         for (std::size_t i = 1; i <= 3; ++i) {
@@ -157,9 +167,24 @@
                 }
             }
         }
+        if (!this->layout.client_blocks.empty()) {
+            record << "client_blocks: " << this->layout.client_blocks << "\n";
+        }
         this->operate("POST", "/v1/records", record.str());
     }
 
+    // The leader's status; an empty object when no leader answers.
+    nlohmann::json status() {
+        for (std::size_t i = 1; i <= control_count; ++i) {
+            auto result = this->call(this->address("control", i, 8100), "GET", "/v1/status");
+            auto body = nlohmann::json::parse(result.response.body, nullptr, false);
+            if (result.status == http_call_status::ok && result.response.status == 200 && body.is_object()) {
+                return body;
+            }
+        }
+        return nlohmann::json::object();
+    }
+
     void set_fault(const std::string& service, std::size_t i, const std::string& json) {
         auto result = this->call(this->target_address(service, i), "POST", "/fault", json);
         REQUIRE(result.status == http_call_status::ok);
@@ -216,6 +241,28 @@
         return names[(i - 1) % 3];
     }
 
+    std::string zone(std::size_t i) const {
+        bool second = this->layout.two_zones && (i - 1) / 3 % 2 == 1;
+        return region(i) + (second ? "-b" : "-a");
+    }
+
+    // Ids of all processes of a region or zone: control processes, edges and targets.
+    std::vector<std::string> processes_in(const std::string& place) const {
+        std::vector<std::string> ids;
+        auto add = [&](const std::string& label, std::size_t count) {
+            for (std::size_t i = 1; i <= count; ++i) {
+                if (region(i) == place || this->zone(i) == place) {
+                    ids.push_back(label + "-" + std::to_string(i));
+                }
+            }
+        };
+        add("control", control_count);
+        add("edge", edge_count);
+        add("look", targets_per_service);
+        add("book", targets_per_service);
+        return ids;
+    }
+
     std::string address(const std::string& label, std::size_t i, int port) const {
         int offset = label == "control" ? 0 : 10;
         return this->net + std::to_string(this->first_host + offset + static_cast<int>(i)) + ":" + std::to_string(port);
@@ -238,12 +285,13 @@
         return files;
     }
 
+    static std::string make_key(std::mt19937_64& random);
+
 private:
+    deployment_options layout;
     std::string net;
     int first_host = 0;
 
-    static std::string make_key(std::mt19937_64& random);
-
     std::string settings_file(const std::string& id) const { return (this->directory / (id + ".yaml")).string(); }
 
     void write(const std::string& id, const std::string& text) const { std::ofstream(this->settings_file(id)) << text; }
@@ -265,7 +313,7 @@
         std::ostringstream text;
         bool control = label == "control";
         text << "cluster: test\nid: " << label << "-" << number << "\nregion: " << region(number)
-             << "\nzone: " << region(number) << "-a\nhttp_address: \""
+             << "\nzone: " << this->zone(number) << "\nhttp_address: \""
              << this->address(label, number, control ? 8100 : 8000) << "\"\npeer_address: \""
              << this->address(label, number, control ? 7100 : 7000) << "\"\n";
         this->peers(text, "control", control_count, 7100);
@@ -277,9 +325,54 @@
         text << (label == "edge" ? "edges" : label) << ":\n";
         for (std::size_t i = 1; i <= count; ++i) {
             text << "  - {id: " << label << "-" << i << ", address: \"" << this->address(label, i, port)
-                 << "\", region: " << region(i) << ", zone: " << region(i) << "-a}\n";
+                 << "\", region: " << region(i) << ", zone: " << this->zone(i) << "}\n";
         }
     }
 };
 
+// ---- Checks ----
+
+inline std::size_t count_outcome(const load_observations& observed, call_outcome outcome) {
+    std::size_t count = 0;
+    for (const call_record& record : observed.records) {
+        count += record.outcome == outcome ? 1 : 0;
+    }
+    return count;
+}
+
+inline void require_promises(const deployment& system, const load_observations& observed, double least_ok_share) {
+    auto violations = system.check(observed);
+    INFO(render_text(summarize(observed.records, {}, {}, observed.duration_s), violations));
+    CHECK(violations.empty());
+    double ok_share =
+        static_cast<double>(count_outcome(observed, call_outcome::ok)) / static_cast<double>(observed.records.size());
+    CHECK(ok_share >= least_ok_share);
+}
+
+// Start times of the runs in a journal, Unix milliseconds.
+inline std::vector<std::int64_t> run_times(const std::string& journal) {
+    std::vector<std::int64_t> times;
+    std::ifstream input(journal);
+    std::string key;
+    std::string method;
+    std::string path;
+    std::int64_t start = 0;
+    while (input >> key >> method >> path >> start) {
+        times.push_back(start);
+    }
+    return times;
+}
+
+// Requests that were intended from `from` to `to` (since the start of the run) and not answered with success, in words.
+inline std::vector<std::string> failures(const load_observations& observed, duration from, duration to) {
+    std::vector<std::string> found;
+    for (const call_record& record : observed.records) {
+        bool within = record.intended_at_ms >= from.count() && record.intended_at_ms < to.count();
+        if (within && record.outcome != call_outcome::ok) {
+            found.push_back(std::to_string(record.intended_at_ms) + " ms " + record.service + " " + record.error);
+        }
+    }
+    return found;
+}
+
 }  // namespace persimmongrade
--- a/tests/load/test_faults.cpp
+++ b/tests/load/test_faults.cpp
@@ -16,37 +16,6 @@
 
 constexpr duration load_length = ms(6000);
 
-std::size_t count_outcome(const load_observations& observed, call_outcome outcome) {
-    std::size_t count = 0;
-    for (const call_record& record : observed.records) {
-        count += record.outcome == outcome ? 1 : 0;
-    }
-    return count;
-}
-
-void require_promises(const deployment& system, const load_observations& observed, double least_ok_share) {
-    auto violations = system.check(observed);
-    INFO(render_text(summarize(observed.records, {}, {}, observed.duration_s), violations));
-    CHECK(violations.empty());
-    double ok_share =
-        static_cast<double>(count_outcome(observed, call_outcome::ok)) / static_cast<double>(observed.records.size());
-    CHECK(ok_share >= least_ok_share);
-}
-
-// Start times of the runs in a journal, Unix milliseconds.
-std::vector<std::int64_t> run_times(const std::string& journal) {
-    std::vector<std::int64_t> times;
-    std::ifstream input(journal);
-    std::string key;
-    std::string method;
-    std::string path;
-    std::int64_t start = 0;
-    while (input >> key >> method >> path >> start) {
-        times.push_back(start);
-    }
-    return times;
-}
-
 }  // namespace
 
 TEST_CASE("promises hold when an edge is killed during bookings that are resent elsewhere") {
