End the callbacks of a load generator with it

Cause: the region test with real processes ended once with SIGSEGV. A load generator left timers and lookup callbacks in the loop when its run ended. A loop that went on, as in the wait after a run, ran them on freed memory.

Change: callbacks of lookups and status polls do nothing once the generator is gone.

Test: "a generator that is gone asks for no more lookups" ends with SIGSEGV without the change and passes with it (test_load).

--- a/src/load/load_generator.cpp
+++ b/src/load/load_generator.cpp
@@ -146,10 +146,22 @@
     std::uint64_t next_number = 0;
     bool sending = false;
     std::vector<precise_clock::time_point> next_arrivals;  // by stream
+    std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
 
     impl(event_loop& loop, load_options options)
         : loop(loop), options(std::move(options)), client(loop), random(this->options.seed) {}
 
+    // A callback that does nothing once the generator is gone: lookups may be outstanding when the run ends, and the
+    // loop may go on without the generator.
+    template <typename Callback>
+    auto while_alive(Callback callback) const {
+        return [alive = std::weak_ptr<bool>(this->lifetime), callback = std::move(callback)](auto&&... arguments) {
+            if (!alive.expired()) {
+                callback(arguments...);
+            }
+        };
+    }
+
     // ---- Lookups ----
 
     static std::string lookup_key(const std::string& service, const std::string& client_ip) {
@@ -165,15 +177,16 @@
         http_call call;
         call.address = this->options.edges[this->next_edge++ % this->options.edges.size()];
         call.target = "/v1/lookup?service=" + service + "&client=" + client_ip;
-        call_id id = this->client.send(call, [this, service, client_ip](const http_call_result& result) {
-            this->receive_lookup(service, client_ip, result);
-        });
-        this->loop.after(this->options.deadline, [this, id, service, client_ip] {
+        call_id id =
+            this->client.send(call, this->while_alive([this, service, client_ip](const http_call_result& result) {
+                this->receive_lookup(service, client_ip, result);
+            }));
+        this->loop.after(this->options.deadline, this->while_alive([this, id, service, client_ip] {
             if (this->client.request_written(id)) {
                 this->client.cancel(id);
                 this->receive_lookup(service, client_ip, {http_call_status::connection_lost, {}});
             }
-        });
+        }));
     }
 
     void receive_lookup(const std::string& service, const std::string& client_ip, const http_call_result& result) {
@@ -190,7 +203,8 @@
             }
             return;
         }
-        this->loop.after(lookup_retry_delay, [this, service, client_ip] { this->ask_lookup(service, client_ip); });
+        this->loop.after(lookup_retry_delay,
+                         this->while_alive([this, service, client_ip] { this->ask_lookup(service, client_ip); }));
     }
 
     // ---- Requests ----
@@ -359,12 +373,12 @@
         http_call call;
         call.address = address;
         call.target = "/v1/status";
-        this->client.send(call, [this](const http_call_result& result) {
+        this->client.send(call, this->while_alive([this](const http_call_result& result) {
             auto status = nlohmann::json::parse(result.response.body, nullptr, false);
             if (result.status == http_call_status::ok && result.response.status == 200 && status.is_object()) {
                 this->read_status(status);
             }
-        });
+        }));
     }
 
     void read_status(const nlohmann::json& status) {
--- a/tests/load/test_load.cpp
+++ b/tests/load/test_load.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
+#include "persimmongrade/http_server.h"
+#include "persimmongrade/load_generator.h"
 #include "persimmongrade/load_report.h"
 
 using namespace persimmongrade;
@@ -89,3 +91,30 @@
     CHECK(nlohmann::json::parse(render_json(summary, {}))["latency"]["crew"]["count"] == 100);
     CHECK(render_html(summary, {}).find("<polyline") != std::string::npos);
 }
+
+// Guards against timers and callbacks of a generator that is gone, while its loop goes on: they used freed memory.
+TEST_CASE("a generator that is gone asks for no more lookups") {
+    event_loop loop;
+    int process = getpid();
+    ip_address address{"127.41." + std::to_string(process / 200 % 200) + "." + std::to_string(process % 200 + 20),
+                       8000};
+    std::size_t lookups = 0;
+    http_server edge(loop, address, {}, [&](const http_request& request, const auto& exchange) {
+        bool first = request.path == "/v1/lookup" && ++lookups == 1;
+        nlohmann::json host{{"address", address.to_string()}, {"weight", 1000}};
+        nlohmann::json answer{{"hosts", nlohmann::json::array({host})}, {"ttl_ms", 0}};
+        exchange->respond({first ? 200 : 503, {}, first ? answer.dump() : "{}"});
+    });
+    load_options options;
+    options.edges = {address};
+    options.streams = {load_stream::parse("look:100:lookup")};
+    options.length = ms(300);
+    options.retries = 0;
+    options.progress = false;
+    load_generator(loop, options).run();
+    loop.run_for(ms(50));  // lookups that were sent before have arrived
+    std::size_t before = lookups;
+    REQUIRE(before > 1);
+    loop.run_for(ms(500));
+    CHECK(lookups == before);
+}
