Test that a lent floor of a past limit counts in full

Change: a test with a cut-off edge that lent its floor before the limit fell.

Conclusion: the test fails when the rule is removed from lease_granter::floor_in_use, and passes with it (measured).

--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -583,6 +583,36 @@
     REQUIRE(recovered >= 40);
 }
 
+// Guards against grants under a lowered limit while an edge that does not know it has only lent its larger floor.
+TEST_CASE("a lent floor of a past limit counts in full") {
+    const auto names = edge_names(2);
+    lease_granter granter(names);
+    granter.apply(make_configuration(1, 400, 64, 9), time_point(ms(0)));
+    granter.become_leader(1, time_point(ms(0)));
+    std::vector<lease_holder> holders;
+    for (const auto& name : names) {
+        holders.emplace_back(name, names).apply(make_configuration(1, 400, 64, 9), time_point(ms(0)));
+    }
+    const resource_claim claim{region, 1};
+    for (std::int64_t t = 0; t < 5600; ++t) {
+        if (t == 5010) {
+            granter.apply(make_configuration(2, 30, 64, 9), time_point(ms(t)));
+            holders[1].apply(make_configuration(2, 30, 64, 9), time_point(ms(t)));
+        }
+        holders[1].reserve(std::span(&claim, 1), time_point(ms(t)));
+        for (std::size_t i = 0; i < 2; ++i) {
+            if (t % 250 == 0 && (i == 1 || t <= 5000)) {  // edge 0 is cut off before the second revision
+                wire::edge_ping_t ping;
+                holders[i].prepare(ping, time_point(ms(t)));
+                holders[i].receive(granter.answer(ping, time_point(ms(t))), time_point(ms(t)));
+            }
+        }
+        if (t >= 5010) {
+            REQUIRE(holders[1].usable(region, time_point(ms(t))) <= 3 * (1 + 1e-9));
+        }
+    }
+}
+
 // Guards against a leader and an edge that take different states for the base of a message, and against grants that are
 // sent again although nothing changed.
 TEST_CASE("pings and pongs carry changes, and everything after a lost pong, a new leader and a restart") {
