--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -197,7 +197,7 @@
     }
 
     // Sends to or from edge i.
-    void send(std::size_t i, std::function<void()> action) {
+    void send(std::size_t i, const std::function<void()>& action) {
         bool faulty = this->options.faults;
         int copies = !faulty ? 1 : this->chance(0.15 * this->loss) ? 0 : this->chance(0.1) ? 2 : 1;
         for (int k = 0; k < copies; ++k) {
@@ -661,7 +661,8 @@
     }
     SECTION("a lost pong that arrives after its successor") {
         exchange(true);
-        auto late = pong;
+        wire::edge_pong_t late;
+        std::swap(late, pong);
         exchange();
         double usable = holder.usable(region, time_point(ms(t)));
         holder.receive(late, time_point(ms(t)));
