--- a/tests/load/deployment.h
+++ b/tests/load/deployment.h
@@ -324,13 +324,9 @@
         std::ostringstream text;
         bool control = label == "control";
         text << "cluster: test\nid: " << label << "-" << number << "\nregion: " << region(number)
-             << "
-zone: " << this->zone(number) << "
-http_address: \""
-             << this->address(label, host, control ? 8100 : 8000) << "\"
-peer_address: \""
-             << this->address(label, host, control ? 7100 : 7000) << "\"
-";
+             << "\nzone: " << this->zone(number) << "\nhttp_address: \""
+             << this->address(label, host, control ? 8100 : 8000) << "\"\npeer_address: \""
+             << this->address(label, host, control ? 7100 : 7000) << "\"\n";
         this->peers(text, "control", control_count, 7100);
         this->peers(text, "edge", edge_count, 7000);
         return text.str();
