--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::int64_t attempt_share_divisor = 2;  // an attempt may be replaced after half of the remaining time
-constexpr duration probe_timeout = ms(50);
+constexpr duration probe_timeout = ms(250);  // includes the time in which a busy host closes an ended process's sockets
 constexpr int first_server_error = 500;
 constexpr std::uint32_t weight_scale = 1000;
 // The leader makes a first assignment within this time after it has accepted the record.
--- a/src/net/connect_probe.cpp
+++ b/src/net/connect_probe.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 // A process that is ending may still accept: its listener is closed a moment after its connections. The connection then
-// ends within this time.
-constexpr duration hold_time = ms(10);
+// ends within this time. With 10 ms, a busy host took a crashed target for a live one, and the request was sent to a
+// third one. A lost connection to a live target delays its retry by this time.
+constexpr duration hold_time = ms(100);
 
 struct probe {
     event_loop& loop;
--- a/tests/control/test_record_store.cpp
+++ b/tests/control/test_record_store.cpp
@@ -4,6 +4,9 @@
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 
+#include "../../src/control/operator_api.h"
+#include "persimmongrade/client_blocks.h"
+#include "persimmongrade/record.h"
 #include "persimmongrade/record_store.h"
 
 using namespace persimmongrade;
@@ -270,3 +273,42 @@
     CHECK_THROWS_AS(decode_command({}), command_corrupt);
     CHECK_THROWS_AS(record_store::restore({1, 2, 3}), snapshot_corrupt);
 }
+
+// Guards against a record that passes all checks and is then refused because its log entry is too large.
+TEST_CASE("the largest record that the bounds allow fits one log entry") {
+    auto name = [](const char* kind, std::size_t number) {
+        std::string text = kind + std::to_string(number);
+        return text + std::string(max_name_bytes - text.size(), '-');
+    };
+    wire::submit_record_t body;
+    body.submission_id = std::string(128, 'i');
+    body.record = std::make_unique<wire::steering_record_t>();
+    body.record->name = name("record", 1);
+    for (std::size_t i = 0; i < max_regions; ++i) {
+        auto& limit = body.record->regions.emplace_back(std::make_unique<wire::region_limit_t>());
+        limit->region = name("region", i);
+        limit->max_requests_per_second = 1e9;
+    }
+    for (std::size_t i = 0; i < max_services; ++i) {
+        auto& service = body.record->services.emplace_back(std::make_unique<wire::service_definition_t>());
+        service->name = name("service", i);
+        service->shift = std::make_unique<wire::shift_cap_t>();
+        service->max_request_bytes = service->max_answer_bytes = service->slots_per_target = 1000000;
+        service->connections_per_target = 1000000;
+        for (const auto& limit : body.record->regions) {
+            service->regions.push_back(limit->region);
+        }
+    }
+    for (std::size_t i = 0; i < max_links; ++i) {
+        auto& link = body.record->links.emplace_back(std::make_unique<wire::link_limit_t>());
+        link->from = name("region", i / max_regions);
+        link->to = name("region", i % max_regions);
+        link->max_mbit_per_second = 1e9;
+    }
+    client_block_writer blocks;
+    for (std::size_t i = 0; i < max_client_blocks; ++i) {
+        blocks.add(parse_client_prefix("2001:db8::/48"), name("region", i % max_regions));
+    }
+    body.record->client_blocks = blocks.take();
+    CHECK(encode_command(make_command(std::move(body))).size() <= max_command_bytes);
+}
