Give the slow reader test ports of its own

Cause: two tests that met in a merge used the same port; the second could not bind it while a connection of the first was in TIME_WAIT. The checks are unchanged.

--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -264,13 +264,13 @@
 TEST_CASE("writes from timers to a slow reader do not abort the process") {
     event_loop loop;
     metric_registry metrics;
-    peer_transport a(loop, "test", "a", test_address(8010), metrics, [](const wire::envelope_t&) {});
+    peer_transport a(loop, "test", "a", test_address(8020), metrics, [](const wire::envelope_t&) {});
     sockaddr_storage address{};
-    socklen_t length = test_address(8011).to_sockaddr(address);
+    socklen_t length = test_address(8021).to_sockaddr(address);
     int listener = ::socket(AF_INET, SOCK_STREAM, 0);
     REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
     REQUIRE(::listen(listener, 1) == 0);
-    a.add_peer("b", test_address(8011));
+    a.add_peer("b", test_address(8021));
     loop.run_for(ms(50));
     int reader = ::accept(listener, nullptr, nullptr);
     REQUIRE(reader >= 0);
