Keep working members from being replaced; end a false leak report in the test of measurements

Causes: (1) Any process that reached the operator port could take the place of a control member, because the leader did not ask whether the member still answers. (2) LeakSanitizer reported 24,648 bytes in test_load: a test served HTTP on a thread that ended, and h2o keeps freed memory for each thread. Found by running each of the 27 test cases alone.

Change: the leader refuses to replace itself or a member that answered within the election timeout. The thread of the test runs until the process ends; the checks are unchanged.

--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -266,8 +266,8 @@
     std::string target;
     std::uint64_t best = 0;
     for (const auto& [member, peer] : this->members) {
-        bool live = peer.acked && now < *peer.acked + this->options.election_timeout;
-        bool eligible = live && is_voting(this->voters(), member) && (to.empty() || member == to);
+        bool eligible =
+            this->hears_from(now, member) && is_voting(this->voters(), member) && (to.empty() || member == to);
         if (eligible && (target.empty() || peer.match > best)) {
             target = member;
             best = peer.match;
--- a/src/consensus/consensus_leader.cpp
+++ b/src/consensus/consensus_leader.cpp
@@ -281,14 +281,15 @@
                        [&](const auto& member) { return !member->voting || awaits_removal(set, *member); });
 }
 
-bool consensus::caught_up(time_point now, const std::string& member) const {
+bool consensus::hears_from(time_point now, const std::string& member) const {
     auto found = this->members.find(member);
-    if (found == this->members.end()) {
-        return false;
-    }
-    const auto& peer = found->second;
-    bool live = peer.acked && now < *peer.acked + this->options.election_timeout;
-    return live && peer.match > 0 && peer.match + promotion_lag_entries >= this->committed;
+    return found != this->members.end() && found->second.acked &&
+           now < *found->second.acked + this->options.election_timeout;
+}
+
+bool consensus::caught_up(time_point now, const std::string& member) const {
+    std::uint64_t match = this->match_index(member);
+    return this->hears_from(now, member) && match > 0 && match + promotion_lag_entries >= this->committed;
 }
 
 // Appends the next automatic change, if any: a promotion, or the removal of a member that has been replaced.
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -114,6 +114,14 @@
             change.member.replaces = voter->id;
         }
     }
+    // A process that was started with wrong settings must not take the place of a member that works.
+    bool replaces_live =
+        change.member.replaces == this->log.id() || this->log.hears_from(this->loop.now(), change.member.replaces);
+    if (replaces_live) {
+        this->refuse(exchange, operator_error::unavailable,
+                     "member " + change.member.replaces + " answers; only a member that is lost can be replaced");
+        return;
+    }
     try {
         this->log.change_voters(this->loop.now(), change);
         log_info("member added", field("id", asked->id), field("replaces", change.member.replaces));
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -597,3 +597,20 @@
     CHECK(c.ask("GET", "/v1/status")["revision"] == answer["revision"]);
     CHECK(in_force());  // through a leader that has not sent this configuration before
 }
+
+// Guards against a process with wrong settings, or any caller of the operator port, that takes the vote of a member.
+TEST_CASE("a member that answers is not replaced by a process that claims its place") {
+    cluster c;
+    REQUIRE(c.submit("a", "a", 1)["status"] == "accepted");
+    auto members = [&] { return c.ask("GET", "/v1/status")["members"]; };
+    json before = members();
+    for (int claimed = 0; claimed < cluster::size; ++claimed) {
+        json body = {
+            {"id", c.name(claimed) + ".00000000deadbeef"}, {"name", c.name(claimed)}, {"address", c.peer(claimed)}};
+        http_response answer = c.call(c.leader(), "POST", "/v1/members", "", body.dump());
+        INFO(answer.body);
+        CHECK(answer.status == 503);
+        CHECK(answer.body.find("can be replaced") != std::string::npos);
+    }
+    CHECK(members() == before);
+}
--- a/tests/load/test_bench.cpp
+++ b/tests/load/test_bench.cpp
@@ -11,10 +11,11 @@
 
 namespace {
 
-// Serves on a thread of its own, since a measurement occupies its thread. /slow takes 20 ms and /no is refused.
+// Serves on a thread of its own, since a measurement occupies its thread. /slow takes 20 ms and /no is refused. The
+// thread runs until the process ends: h2o keeps freed memory for each thread, which counts as leaked when the thread
+// ends.
 struct served {
     ip_address address{"127.9.8." + std::to_string(getpid() % 200 + 20), 8301};
-    std::atomic<bool> ended = false;
     std::atomic<bool> ready = false;
     std::thread thread{[this] {
         event_loop loop;
@@ -25,9 +26,7 @@
             request.path == "/slow" ? static_cast<void>(loop.after(ms(20), answer)) : answer();
         });
         this->ready = true;
-        while (!this->ended) {
-            loop.run_for(ms(10));
-        }
+        loop.run();
     }};
 
     served() {
@@ -35,17 +34,13 @@
             std::this_thread::yield();
         }
     }
-    ~served() {
-        this->ended = true;
-        this->thread.join();
-    }
     bench_case on(const std::string& path) const { return {path, this->address, path}; }
 };
 
 }  // namespace
 
 TEST_CASE("a measurement counts answers, refusals and waits from the intended start") {
-    served server;
+    served& server = *new served;
     bench_options options{.cases = {server.on("/slow"), server.on("/no"), server.on("/a")},
                           .connections = 2,
                           .length = ms(300),
