Look up the latency between regions in one place

Cause: lookups and shifts had the same search; only one of them kept two regions at least 1 ms apart, so that the other had to correct its result. test_steering passes.

--- a/include/persimmongrade/lookup.h
+++ b/include/persimmongrade/lookup.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <span>
@@ -28,6 +29,12 @@
     friend bool operator==(const region_latency&, const region_latency&) = default;
 };
 
+inline constexpr std::uint32_t unknown_latency = std::numeric_limits<std::uint32_t>::max();
+
+// Milliseconds from one region to another: 0 inside a region, at least 1 between two, unknown_latency when not listed.
+std::uint32_t latency_between(std::span<const region_latency> latencies, const std::string& from,
+                              const std::string& to);
+
 struct lookup_options {
     std::uint32_t ttl_ms = 5000;          // clients may cache an answer this long
     double host_requests_per_second = 0;  // capacity of one entry host; 0: unknown, full load is assumed
@@ -70,7 +77,6 @@
 private:
     void rebuild();
     std::vector<std::string> by_distance(const std::string& region) const;
-    std::uint32_t latency(const std::string& from, const std::string& to) const;
     std::map<std::string, double> planned_demand() const;
     std::map<std::string, std::map<std::string, double>> plan() const;
     lookup_answer build(const std::string& region, const std::map<std::string, double>& shares) const;
--- a/include/persimmongrade/shift_controller.h
+++ b/include/persimmongrade/shift_controller.h
@@ -166,7 +166,6 @@
     void read_caller_regions(const wire::configuration_t& configuration);
     std::set<std::string> caller_regions(const service_entry& entry) const;
     std::vector<std::string> by_latency(const std::string& caller, const step& plan, const planned_loads& loads) const;
-    std::uint32_t latency(const std::string& from, const std::string& to) const;
     void first_assignments(const std::string& service, const service_entry& entry, time_point now,
                            std::vector<wire::assignment_t>& result);
     std::string first_region(const std::string& caller, const std::string& service, const service_entry& entry,
--- a/src/steering/lookup.cpp
+++ b/src/steering/lookup.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <numeric>
 #include <set>
 
@@ -10,7 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t unknown_latency = std::numeric_limits<std::uint32_t>::max();
 constexpr double full_permille = 1000;
 
 // Whole numbers that sum to 1000 in proportion to `shares`, which sum to 1: the largest remainders are rounded up.
@@ -33,6 +31,19 @@
 
 }  // namespace
 
+std::uint32_t latency_between(std::span<const region_latency> latencies, const std::string& from,
+                              const std::string& to) {
+    if (from == to) {
+        return 0;
+    }
+    for (const auto& entry : latencies) {
+        if ((entry.from == from && entry.to == to) || (entry.from == to && entry.to == from)) {
+            return std::max(1U, entry.one_way_ms);
+        }
+    }
+    return unknown_latency;
+}
+
 lookup_builder::lookup_builder(lookup_options options, std::vector<region_latency> latencies)
     : options(std::move(options)), latencies(std::move(latencies)) {
     this->rebuild();
@@ -116,24 +127,11 @@
 
 // ---- Weights ----
 
-std::uint32_t lookup_builder::latency(const std::string& from, const std::string& to) const {
-    if (from == to) {
-        return 0;
-    }
-    for (const auto& entry : this->latencies) {
-        if ((entry.from == from && entry.to == to) || (entry.from == to && entry.to == from)) {
-            return entry.one_way_ms;
-        }
-    }
-    return unknown_latency;
-}
-
 // Regions with usable hosts, nearest first.
 std::vector<std::string> lookup_builder::by_distance(const std::string& region) const {
     std::vector<std::pair<std::uint32_t, std::string>> order;
     for (const auto& [name, list] : this->hosts) {
-        std::uint32_t distance = this->latency(region, name);
-        order.emplace_back(name == region ? 0 : std::max(1U, distance), name);
+        order.emplace_back(latency_between(this->latencies, region, name), name);
     }
     std::sort(order.begin(), order.end());
     std::vector<std::string> result;
--- a/src/steering/shift_controller.cpp
+++ b/src/steering/shift_controller.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace persimmongrade {
 
@@ -19,7 +18,6 @@
 // A step that is still not applied after this time is decided again. It is longer than a leader can go on leading
 // without a majority: a second step from the same state, applied after the first, would move traffic back and forth.
 constexpr duration pending_timeout = ms(30000);
-constexpr std::uint32_t unknown_latency = std::numeric_limits<std::uint32_t>::max();
 
 // The middle value; of two middle ones the lower.
 template <typename Value>
@@ -356,24 +354,12 @@
 
 // ---- Order of regions ----
 
-std::uint32_t shift_controller::latency(const std::string& from, const std::string& to) const {
-    if (from == to) {
-        return 0;
-    }
-    for (const auto& entry : this->latencies) {
-        if ((entry.from == from && entry.to == to) || (entry.from == to && entry.to == from)) {
-            return std::max(1U, entry.one_way_ms);
-        }
-    }
-    return unknown_latency;
-}
-
 // Allowed regions: the own one, then by latency, then by room.
 std::vector<std::string> shift_controller::by_latency(const std::string& caller, const step& plan,
                                                       const planned_loads& loads) const {
     std::vector<std::pair<std::pair<std::uint32_t, double>, std::string>> order;
     for (const auto& region : plan.entry->regions) {
-        order.push_back({{this->latency(caller, region), -this->room(plan, loads, region)}, region});
+        order.push_back({{latency_between(this->latencies, caller, region), -this->room(plan, loads, region)}, region});
     }
     std::sort(order.begin(), order.end());
     std::vector<std::string> result;
@@ -419,7 +405,7 @@
             const capacity_sample& sample = std::next(samples->second.begin(), static_cast<std::ptrdiff_t>(i))->second;
             alive = alive || (sample.live > 0 && this->fresh(sample.taken_at, now));
         }
-        best = std::min(best, {{!alive, this->latency(caller, region)}, region});
+        best = std::min(best, {{!alive, latency_between(this->latencies, caller, region)}, region});
     }
     return best.second;
 }
@@ -640,7 +626,7 @@
         std::vector<std::pair<std::uint32_t, std::string>> callers;
         for (const auto& [caller, shares] : plan.shares) {
             if (shares.contains(region) && shares.at(region) > 0) {
-                callers.emplace_back(this->latency(caller, region), caller);
+                callers.emplace_back(latency_between(this->latencies, caller, region), caller);
             }
         }
         std::sort(callers.rbegin(), callers.rend());
@@ -660,7 +646,8 @@
     for (auto& [caller, shares] : plan.shares) {
         for (const auto& [from, permille] : permille_map(shares)) {
             for (const auto& target : this->by_latency(caller, plan, loads)) {
-                bool nearer = this->latency(caller, target) < this->latency(caller, from);
+                bool nearer =
+                    latency_between(this->latencies, caller, target) < latency_between(this->latencies, caller, from);
                 if (nearer && plan.capacities.contains(target)) {
                     double amount = plan.demand.at(caller) * shares[from] / whole;
                     this->move(plan, loads, caller, from, target, amount);
