Read large records on a second thread; share the code that stood twice

The leader parsed the record on its event loop. With sanitizers the record of 120 KB took longer than the election timeout of 400 ms, so another process was elected, got the resent record, and lost its leadership in the same way: 18 terms in 11 s in the log of the failing run. A plain build parses 500 KB in 227 ms and has the same fault on a machine that is half as fast.

Change: records above 16 KiB are parsed on a second thread; the text and the parsed value cross between the threads, nothing else.

Also: simulated_delay() and used_processor_seconds() replace two copies each, and the shift controller learns the caller regions once.

--- a/include/persimmongrade/metrics.h
+++ b/include/persimmongrade/metrics.h
@@ -17,6 +17,8 @@
 
 namespace persimmongrade {
 
+double used_processor_seconds();  // user and system time of all threads of the process
+
 class metric_registry {
 public:
     using labels = std::map<std::string, std::string>;
--- a/include/persimmongrade/settings.h
+++ b/include/persimmongrade/settings.h
@@ -7,8 +7,11 @@
 
 #pragma once
 
+#include <memory>
 #include <string>
+#include <vector>
 
+#include "persimmongrade/clock.h"
 #include "settings_generated.h"
 
 namespace persimmongrade {
@@ -17,4 +20,9 @@
 wire::control_settings_t load_control_settings(const std::string& file);
 wire::target_settings_t load_target_settings(const std::string& file);
 
+using latency_list = std::vector<std::unique_ptr<wire::latency_setting_t>>;
+
+// Delay of messages to a region, for measurements on one machine; zero when it is not listed.
+duration simulated_delay(const latency_list& latencies, const std::string& region);
+
 }  // namespace persimmongrade
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -7,17 +7,12 @@
 
 namespace persimmongrade {
 
-namespace {
-
-// User and system time of all threads of the process.
 double used_processor_seconds() {
     timespec used{};
     clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
     return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / 1e9;
 }
 
-}  // namespace
-
 metric_registry::metric_registry()
     : registry(std::make_shared<prometheus::Registry>()),
       processor_seconds(this->counter("process_cpu_seconds_total", "User and system processor time in seconds.")) {}
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -254,4 +254,13 @@
     return settings;
 }
 
+duration simulated_delay(const latency_list& latencies, const std::string& region) {
+    for (const auto& latency : latencies) {
+        if (latency->to_region == region) {
+            return ms(latency->one_way_ms);
+        }
+    }
+    return duration::zero();
+}
+
 }  // namespace persimmongrade
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -43,7 +43,7 @@
             [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
       http(loop, ip_address::parse(this->settings.http_address), this->http_options(options),
            [this](const http_request& request, const exchange_pointer& exchange) { this->handle(request, exchange); }),
-      client(loop),
+      client(loop), parser(loop),
       submissions(this->metrics.counter("persimmongrade_submissions_total", "Submissions put into the log.")),
       bad_pings(this->metrics.counter("persimmongrade_bad_pings_total", "Pings with a missing field.")),
       rejected_requests(this->metrics.gauge("persimmongrade_http_rejected_requests",
@@ -61,6 +61,9 @@
                                                         "Refused operator requests.",
                                                         {{"error", to_string(static_cast<operator_error>(i))}}));
     }
+    for (const auto& edge : this->settings.edges) {
+        this->shifts.add_caller_region(edge->region);
+    }
     this->log.start();
     loop.every(consensus_tick, [this] { this->log.tick(this->loop.now()); });
     loop.every(distribution_tick, [this] { this->distribute(); });
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -3,18 +3,10 @@
 #include <utility>
 
 #include "persimmongrade/log.h"
+#include "persimmongrade/settings.h"
 
 namespace persimmongrade {
 
-duration control_server::impl::delay_to(const std::string& region) const {
-    for (const auto& latency : this->settings.simulated_latency) {
-        if (latency->to_region == region) {
-            return ms(latency->one_way_ms);
-        }
-    }
-    return duration::zero();
-}
-
 const wire::peer_settings_t* control_server::impl::control_at(const std::string& peer_address) const {
     for (const auto& peer : this->settings.control) {
         if (peer->address == peer_address) {
@@ -61,7 +53,8 @@
         if (!this->connected.contains(id)) {
             const wire::peer_settings_t* peer = this->control_at(address);
             this->peers.add_peer(id, ip_address::parse(address),
-                                 peer == nullptr ? duration::zero() : this->delay_to(peer->region));
+                                 peer == nullptr ? duration::zero()
+                                                 : simulated_delay(this->settings.simulated_latency, peer->region));
         }
     }
     this->connected = std::move(wanted);
--- a/src/control/operator_routes.cpp
+++ b/src/control/operator_routes.cpp
@@ -115,15 +115,28 @@
     if (!id) {
         return;
     }
-    wire::submit_record_t command;
-    command.submission_id = *id;
-    try {
-        command.record = std::make_unique<wire::steering_record_t>(parse_record(request.body));
-    } catch (const record_error& failure) {
-        this->count_refusal(operator_error::invalid_record);
-        exchange->respond(record_error_response(failure));
+    bool taken = this->parser.parse(request.body, [this, id, exchange](record_parse_queue::result result) {
+        this->submit_parsed(*id, std::move(result), exchange);
+    });
+    if (!taken) {
+        this->refuse(exchange, operator_error::unavailable, "too many large records wait to be read");
+    }
+}
+
+void control_server::impl::submit_parsed(const std::string& id, record_parse_queue::result result,
+                                         const exchange_pointer& exchange) {
+    if (result.failure) {
+        try {
+            std::rethrow_exception(result.failure);
+        } catch (const record_error& failure) {
+            this->count_refusal(operator_error::invalid_record);
+            exchange->respond(record_error_response(failure));
+        }
         return;
     }
+    wire::submit_record_t command;
+    command.submission_id = id;
+    command.record = std::move(result.record);
     wire::command_bodyUnion body;
     body.Set(std::move(command));
     this->submit(std::move(body), exchange);
--- a/src/control/server_state.h
+++ b/src/control/server_state.h
@@ -30,6 +30,7 @@
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/record_store.h"
 #include "persimmongrade/shift_controller.h"
+#include "record_parse_queue.h"
 
 namespace persimmongrade {
 
@@ -77,7 +78,8 @@
     consensus_driver<impl> log;
     peer_transport peers;
     http_server http;
-    http_client client;                            // requests to be added to the voters
+    http_client client;  // requests to be added to the voters
+    record_parse_queue parser;
     std::map<std::string, std::string> connected;  // address by member id
     std::size_t next_to_ask = 0;
     std::deque<submission> queue;                     // accepted from HTTP, not yet proposed
@@ -104,7 +106,6 @@
     void stop();
 
     // ---- Members of the log (membership.cpp) ----
-    duration delay_to(const std::string& region) const;
     const wire::peer_settings_t* control_at(const std::string& peer_address) const;
     const wire::voter_t* member(const std::string& id) const;
     std::string name_of(const std::string& id) const;
@@ -151,6 +152,7 @@
     static bool is_known_path(const std::string& path);
     std::optional<std::string> submission_id(const http_request& request, const exchange_pointer& exchange);
     void post_record(const http_request& request, const exchange_pointer& exchange);
+    void submit_parsed(const std::string& id, record_parse_queue::result result, const exchange_pointer& exchange);
     void delete_record(const std::string& name, const http_request& request, const exchange_pointer& exchange);
     void post_drain(const http_request& request, const exchange_pointer& exchange);
     void delete_drain(const std::string& target, const http_request& request, const exchange_pointer& exchange);
--- a/src/control/shift_driver.cpp
+++ b/src/control/shift_driver.cpp
@@ -44,9 +44,6 @@
     time_point now = this->loop.now();
     if (this->shifts_revision != this->store.revision()) {
         this->shifts_revision = this->store.revision();
-        for (const auto& edge : this->settings.edges) {
-            this->shifts.add_caller_region(edge->region);
-        }
         this->shifts.apply(this->store.configuration(), now);
     }
     if (!this->refresh_authority() || this->is_stopping) {
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -114,20 +114,12 @@
     void connect(const std::vector<std::unique_ptr<wire::peer_settings_t>>& list) {
         for (const auto& peer : list) {
             if (peer->id != this->settings.id) {
-                this->peers.add_peer(peer->id, ip_address::parse(peer->address), this->delay_to(peer->region));
+                this->peers.add_peer(peer->id, ip_address::parse(peer->address),
+                                     simulated_delay(this->settings.simulated_latency, peer->region));
             }
         }
     }
 
-    duration delay_to(const std::string& region) const {
-        for (const auto& latency : this->settings.simulated_latency) {
-            if (latency->to_region == region) {
-                return ms(latency->one_way_ms);
-            }
-        }
-        return duration::zero();
-    }
-
     // ---- Control processes ----
 
     void ping_early() {
--- a/tools/capacity/report.cpp
+++ b/tools/capacity/report.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ctime>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -111,12 +110,6 @@
     return {title, {"of", "value", "x", "slope per 1000 x", "at x = 0", "residual % of largest"}, {}};
 }
 
-double processor_seconds() {
-    timespec used{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / 1e9;
-}
-
 std::size_t heap_bytes() {
     struct mallinfo2 info = mallinfo2();
     return info.uordblks + info.hblkhd;
--- a/tools/capacity/report.h
+++ b/tools/capacity/report.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "persimmongrade/metrics.h"
 #include "record_generated.h"
 
 namespace persimmongrade {
@@ -25,15 +26,14 @@
 void add_fits(table& fits, const table& from, const std::string& group, std::size_t x,
               const std::vector<std::size_t>& columns);
 
-double processor_seconds();
 std::size_t heap_bytes();
 
 // Processor time of this process, which other load on the machine disturbs less than elapsed time.
 template <typename Action>
 double seconds(Action&& action) {
-    double start = processor_seconds();
+    double start = used_processor_seconds();
     action();
-    return processor_seconds() - start;
+    return used_processor_seconds() - start;
 }
 
 template <typename Message, typename Object>
