Test that large records that arrive together leave the leader in place

Change: a test sends 16 records of 290 KB to the leader at once and checks that all are accepted in the same term by the same leader. Both tests that lose a disk share one function now.

--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -102,6 +103,25 @@
                            "/dev/null");
     }
 
+    // Restarts a follower with an empty data folder. Whether a new member took its place within `rounds` of 50 ms.
+    bool replace_lost_disk(int rounds) {
+        int lost = (this->leader() + 1) % size;
+        this->kill(lost);
+        std::filesystem::remove_all(this->data(lost));
+        this->start(lost, false);
+        for (int i = 0; i < rounds; ++i) {
+            this->loop.run_for(ms(50));
+            json members = this->ask("GET", "/v1/status")["members"];
+            bool renewed = std::any_of(members.begin(), members.end(), [&](const json& member) {
+                return std::string(member["id"]).starts_with(this->name(lost) + ".") && member["voting"] == true;
+            });
+            if (renewed && members.size() == size) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     // Status code 0 when there is no answer within the limit.
     http_response call(int i, const std::string& method, const std::string& target, const std::string& id = "",
                        const std::string& body = "", duration limit = ms(700)) {
@@ -344,20 +364,7 @@
     for (int i = 0; i < 60; ++i) {  // beyond snapshot_entries
         c.submit("r" + std::to_string(i), "r" + std::to_string(i), 1);
     }
-    int lost = (c.leader() + 1) % cluster::size;
-    c.kill(lost);
-    std::filesystem::remove_all(c.data(lost));
-    c.start(lost, false);
-    bool replaced = false;
-    for (int i = 0; i < 100 && !replaced; ++i) {
-        c.loop.run_for(ms(50));
-        json members = c.ask("GET", "/v1/status")["members"];
-        for (const json& member : members) {
-            bool renewed = std::string(member["id"]).starts_with(c.name(lost) + ".") && member["voting"] == true;
-            replaced = replaced || (renewed && members.size() == 3);
-        }
-    }
-    REQUIRE(replaced);
+    REQUIRE(c.replace_lost_disk(100));
     c.kill(c.leader());
     CHECK(c.submit("after", "after", 1)["status"] == "accepted");
     CHECK(c.ask("GET", "/v1/records")["records"].size() == 61);
@@ -579,25 +586,40 @@
     std::size_t at = metrics.find(counted);
     REQUIRE(at != std::string::npos);
     CHECK(std::stoi(metrics.substr(at + counted.size())) > 16);  // of 1 MiB
-    int lost = (c.leader() + 1) % cluster::size;
-    c.kill(lost);
-    std::filesystem::remove_all(c.data(lost));
-    c.start(lost, false);
-    bool replaced = false;
-    for (int i = 0; i < 200 && !replaced; ++i) {
-        c.loop.run_for(ms(50));
-        json members = c.ask("GET", "/v1/status")["members"];
-        for (const json& member : members) {
-            bool renewed = std::string(member["id"]).starts_with(c.name(lost) + ".") && member["voting"] == true;
-            replaced = replaced || (renewed && members.size() == 3);
-        }
-    }
-    REQUIRE(replaced);
+    REQUIRE(c.replace_lost_disk(200));
     c.kill(c.leader());
     CHECK(c.ask("GET", "/v1/status")["revision"] == answer["revision"]);
     CHECK(in_force());  // through a leader that has not sent this configuration before
 }
 
+// Guards against a leader that reads records on its event loop: it is silent meanwhile and an election replaces it.
+TEST_CASE("large records that arrive together are accepted without a change of leader") {
+    constexpr int records = 16;  // of 290 KB each
+    cluster c;
+    REQUIRE(c.submit("first", "first", 1)["status"] == "accepted");
+    int leader = c.leader();
+    json term = c.ask("GET", "/v1/status")["term"];
+    int accepted = 0;
+    for (int i = 0; i < records; ++i) {
+        http_call request{ip_address::parse(c.http(leader)),
+                          "POST",
+                          "/v1/records",
+                          {{"submission-id", std::to_string(i)}},
+                          large_record(i, 9900)};
+        request.reuse_connection = false;
+        c.client.send(std::move(request), [&](const http_call_result& result) {
+            accepted += result.status == http_call_status::ok && result.response.status == 200 ? 1 : 0;
+            if (accepted == records) {
+                c.loop.stop();
+            }
+        });
+    }
+    c.loop.run_for(ms(30000));
+    CHECK(accepted == records);
+    CHECK(c.ask("GET", "/v1/status")["term"] == term);
+    CHECK(c.leader() == leader);
+}
+
 // Guards against a process with wrong settings, or any caller of the operator port, that takes the vote of a member.
 TEST_CASE("a member that answers is not replaced by a process that claims its place") {
     cluster c;
