Refuse a second bootstrap of a process that lost its disk

Seen in the new tests without the check: two emptied processes of three formed a new cluster and answered reads with 200 and no record, while the third with the accepted records was away; one emptied process kept running under its old identity.

Change: before the identity is written, every other control process of the settings must confirm that it has not known this one. Ruled out: a mark beside the data directory (lost with the disk) and detection by the leader (a new leader does not know how long the log of the other was).

--- a/daemons/persimmongrade-control.cpp
+++ b/daemons/persimmongrade-control.cpp
@@ -1,7 +1,9 @@
 // persimmongrade-control: one replica of the control log. See docs/design.md, section 3.
 
 #include <csignal>
+#include <utility>
 
+#include "persimmongrade/bootstrap.h"
 #include "persimmongrade/command_line.h"
 #include "persimmongrade/control_server.h"
 #include "persimmongrade/log.h"
@@ -11,11 +13,18 @@
 
 using namespace persimmongrade;
 
-int run(const wire::control_settings_t& settings, const control_options& options) {
+int run(const wire::control_settings_t& settings, control_options options) {
     // A write beyond the limit of file sizes then fails with EFBIG and is handled like a full disk; the default action
     // of the signal ends the process.
     std::signal(SIGXFSZ, SIG_IGN);
     event_loop loop;
+    if (options.bootstrap && awaits_bootstrap(settings)) {
+        auto registry = confirm_bootstrap(loop, settings);
+        if (!registry) {
+            return exit_success;  // stopped by a signal
+        }
+        options.bootstraps = std::move(*registry);
+    }
     control_server server(loop, settings, options);
     loop.on_signal(SIGTERM, [&] { server.stop(); });
     loop.on_signal(SIGINT, [&] { server.stop(); });
--- a/include/persimmongrade/control_server.h
+++ b/include/persimmongrade/control_server.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 
+#include "persimmongrade/bootstrap.h"
 #include "persimmongrade/event_loop.h"
 #include "settings_generated.h"
 
@@ -18,6 +19,7 @@
 
 struct control_options {
     bool bootstrap = false;                // first start of a new cluster: an empty data directory may vote at once
+    bootstrap_registry bootstraps = {};    // answers processes that are started with --bootstrap
     duration request_timeout = ms(10000);  // from the first byte of a request to its last, then request_incomplete
 };
 
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -1,5 +1,6 @@
 #include "server_state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "persimmongrade/log.h"
@@ -7,6 +8,21 @@
 
 namespace persimmongrade {
 
+// The sender may be no member any more, so it is connected by the settings.
+void control_server::impl::answer_bootstrap(const std::string& from, std::uint64_t token) {
+    auto known = std::find_if(this->settings.control.begin(), this->settings.control.end(),
+                              [&](const auto& peer) { return peer->id == from; });
+    if (known == this->settings.control.end()) {
+        return;
+    }
+    wire::bootstrap_reply_t reply;
+    reply.token = token;
+    reply.confirmed = this->bootstraps.confirm(from, token);
+    if (!this->peers.send(from, std::move(reply))) {
+        this->peers.add_peer(from, ip_address::parse((*known)->address));  // answers the next request
+    }
+}
+
 const wire::peer_settings_t* control_server::impl::control_at(const std::string& peer_address) const {
     for (const auto& peer : this->settings.control) {
         if (peer->address == peer_address) {
--- a/src/control/server_state.h
+++ b/src/control/server_state.h
@@ -85,6 +85,7 @@
     std::deque<submission> queue;                     // accepted from HTTP, not yet proposed
     std::map<std::uint64_t, pending_entry> proposed;  // by log index
     std::vector<watch> watches;
+    bootstrap_registry bootstraps;
     bool flush_scheduled = false;
     bool is_stopping = false;
     bool is_stopped = false;
@@ -106,6 +107,7 @@
     void stop();
 
     // ---- Members of the log (membership.cpp) ----
+    void answer_bootstrap(const std::string& from, std::uint64_t token);
     const wire::peer_settings_t* control_at(const std::string& peer_address) const;
     const wire::voter_t* member(const std::string& id) const;
     std::string name_of(const std::string& id) const;
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -620,6 +620,42 @@
     CHECK(c.leader() == leader);
 }
 
+// Guards against a vote under the old identity from a process that lost its log: it could elect a leader that lacks
+// accepted records.
+TEST_CASE("a process that lost its disk is refused a second bootstrap, and joins without it") {
+    cluster c;
+    REQUIRE(c.submit("a", "a", 1)["status"] == "accepted");
+    int lost = (c.leader() + 1) % cluster::size;
+    c.kill(lost);
+    std::filesystem::remove_all(c.data(lost));
+    c.start(lost, true);
+    CHECK(c.process(lost).wait(exit_limit) == 1);
+    CHECK_FALSE(std::filesystem::exists(c.data(lost) / "identity"));
+    REQUIRE(c.replace_lost_disk(100));
+    CHECK(c.ask("GET", "/v1/records")["records"].size() == 1);
+}
+
+TEST_CASE("two processes that lost their disks form no new cluster while the third is away") {
+    cluster c;
+    REQUIRE(c.submit("a", "a", 1)["status"] == "accepted");
+    for (int i = 0; i < cluster::size; ++i) {
+        c.kill(i);
+    }
+    for (int i : {0, 1}) {
+        std::filesystem::remove_all(c.data(i));
+        c.start(i, true);
+    }
+    c.loop.run_for(ms(3000));  // an election takes under 1 s
+    for (int i : {0, 1}) {
+        CHECK(c.call(i, "GET", "/v1/records").status == 0);
+        CHECK(c.process(i).running());
+    }
+    c.start(2, true);  // --bootstrap has no effect on a directory that holds data
+    for (int i : {0, 1}) {
+        CHECK(c.process(i).wait(exit_limit) == 1);
+    }
+}
+
 // Guards against a process with wrong settings, or any caller of the operator port, that takes the vote of a member.
 TEST_CASE("a member that answers is not replaced by a process that claims its place") {
     cluster c;
