Look at the connections to other edges only when one of them changed

Cause: the request ledger of an edge asked every 20 ms for each other edge whether it is connected: three map lookups by id, 50 times a second. In a profile of an idle edge among 200 (perf, 10 s) watch_connections, connected and their string comparisons are about 60% of the samples. This is the part of an idle edge's processor time that grows with the number of edges.

Change: peer_transport counts the changes that can alter an answer of connected(), and the ledger compares this count on each tick. A lost connection is noticed at the same tick as before.

Tests: test_net (new: every change of connected() raises the count, messages on open connections do not; it fails when the count leaves out closed connections), test_edge and test_control pass. In one earlier run, at the same time as test_load, one case of test_edge or test_control failed; its output was not kept, and the next run of both passed.

--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -63,6 +63,9 @@
     bool update_peer(const std::string& id, const ip_address& address, std::uint64_t incarnation);
     void set_incarnation(std::uint64_t incarnation);  // own one, stated in every message from now on
     bool connected(const std::string& id) const;      // in either direction
+    // Rises whenever connected() may give another answer for some peer, so that a caller which follows all peers need
+    // not ask for each of them again.
+    std::uint64_t connection_changes() const noexcept;
 
     // Queues a message (a generated type such as wire::claim_request_t); false when there is no connection.
     template <typename Body>
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -258,7 +258,8 @@
         auto send = [this](const std::string& to, const ledger_message_body& body) {
             std::visit([&](const auto& message) { this->peers.send(to, message); }, body);
         };
-        return {send, [this](const std::string& edge_id) { return this->peers.connected(edge_id); }};
+        return {send, [this](const std::string& edge_id) { return this->peers.connected(edge_id); },
+                [this] { return this->peers.connection_changes(); }};
     }
 
     // ---- Targets ----
--- a/src/edge/ledger_service.cpp
+++ b/src/edge/ledger_service.cpp
@@ -1,5 +1,7 @@
 #include "ledger_service.h"
 
+#include <utility>
+
 namespace persimmongrade {
 
 namespace {
@@ -129,6 +131,10 @@
 }
 
 void ledger_service::watch_connections() {
+    std::uint64_t changes = this->peers.connection_changes();
+    if (changes == std::exchange(this->watched_changes, changes)) {
+        return;
+    }
     for (const std::string& other : this->other_edges) {
         bool connected = this->peers.connected(other);
         bool was_connected = this->connected_edges.contains(other);
--- a/src/edge/ledger_service.h
+++ b/src/edge/ledger_service.h
@@ -20,6 +20,7 @@
 struct ledger_peers {
     std::function<void(const std::string& edge, const ledger_message_body& body)> send;
     std::function<bool(const std::string& edge)> connected;
+    std::function<std::uint64_t()> connection_changes;  // not 0; unchanged: `connected` answers as before for all edges
 };
 
 class ledger_service {
@@ -72,6 +73,7 @@
     std::map<ledger_path, prometheus::Histogram*> decision_seconds;
     std::map<std::uint64_t, std::uint64_t> dispatched;  // request by attempt
     std::set<std::string> connected_edges;
+    std::uint64_t watched_changes = 0;  // up to which connected_edges is known
     std::vector<std::string> other_edges;
     std::uint64_t last_request = 0;
     timer_id timer = 0;
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -91,6 +91,7 @@
     bool established = false;
     std::function<void(connection&)> on_readable;
     std::function<void(connection&)> on_closed;
+    std::function<void()> on_established;  // of an outgoing connection
 
     explicit connection(h2o_socket_t* socket) : socket(socket) { socket->data = this; }
 
@@ -201,6 +202,7 @@
     std::map<std::string, connection*> accepted_by_id;
     std::map<std::string, std::uint64_t> newest;       // incarnation known of each peer
     std::vector<std::unique_ptr<connection>> closing;  // destroyed on a later turn, outside their own callbacks
+    std::uint64_t changes = 1;                         // of anything that route() depends on
 
     impl(event_loop& loop, std::string cluster, std::string id, metric_registry& metrics, peer_handler handler)
         : loop(loop), cluster(std::move(cluster)), id(std::move(id)), handler(std::move(handler)), metrics(metrics),
@@ -230,6 +232,7 @@
         if (!closed) {
             return;
         }
+        ++this->changes;
         h2o_socket_read_stop(closed->socket);
         this->closing.push_back(std::move(closed));
         this->loop.after(duration::zero(), [this] { this->closing.clear(); });
@@ -247,6 +250,7 @@
                                                           return;
                                                       }
                                                       self.start_reading();
+                                                      self.on_established();
                                                       self.write_next();
                                                   });
         if (socket == nullptr) {
@@ -256,6 +260,7 @@
         entry.outgoing = std::make_unique<connection>(socket);
         entry.outgoing->peer_id = peer_id;
         entry.outgoing->on_readable = [this](connection& readable) { this->read_frames(readable); };
+        entry.outgoing->on_established = [this] { ++this->changes; };
         entry.outgoing->on_closed = [this, peer_id](connection& closed) {
             auto found = this->peers.find(peer_id);
             if (found != this->peers.end() && found->second.outgoing.get() == &closed) {  // not replaced meanwhile
@@ -309,6 +314,7 @@
         auto by_id = this->accepted_by_id.find(closed.peer_id);
         if (by_id != this->accepted_by_id.end() && by_id->second == &closed) {
             this->accepted_by_id.erase(by_id);
+            ++this->changes;
         }
         auto node = this->accepted.extract(&closed);
         if (!node.empty()) {
@@ -341,6 +347,7 @@
             if (!is_outgoing && source.peer_id != frame.envelope->from) {
                 source.peer_id = frame.envelope->from;
                 this->accepted_by_id[source.peer_id] = &source;
+                ++this->changes;
             }
             this->handler(*frame.envelope);
             bool closed_by_handler = is_outgoing ? !this->is_outgoing_open(source) : !this->accepted.contains(&source);
@@ -352,11 +359,13 @@
 
     // False for a message of a process that was replaced. Notes a newer incarnation.
     bool is_current(connection& source, const wire::envelope_t& envelope) {
+        this->changes += source.incarnation != envelope.incarnation ? 1 : 0;
         source.incarnation = envelope.incarnation;
         if (envelope.incarnation == 0) {
             return true;
         }
         std::uint64_t& known = this->newest[envelope.from];
+        this->changes += envelope.incarnation > known ? 1 : 0;
         known = std::max(known, envelope.incarnation);
         return envelope.incarnation == known;
     }
@@ -454,6 +463,7 @@
     }
     bool newer = incarnation > known;
     known = incarnation;
+    this->state->changes += newer ? 1 : 0;
     impl::peer& entry = found->second;
     entry.address_incarnation = incarnation;
     if (entry.address != address) {
@@ -472,6 +482,10 @@
     return this->state->route(id) != nullptr;
 }
 
+std::uint64_t peer_transport::connection_changes() const noexcept {
+    return this->state->changes;
+}
+
 bool peer_transport::send_message(const std::string& to, wire::messageUnion message) {
     wire::envelope_t envelope;
     envelope.cluster = this->state->cluster;
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -258,6 +258,75 @@
     CHECK(reached[5] == 0);
 }
 
+// Guards against a caller that follows its peers by this count and misses that one was connected, lost or replaced.
+TEST_CASE("every change of a peer's connection raises the count of changes") {
+    event_loop loop;
+    metric_registry metrics;
+    auto ignore = [](const wire::envelope_t&) {};
+    peer_transport a(loop, "test", "a", test_address(8014), metrics, ignore);
+    bool was_connected = false;
+    std::uint64_t counted = 0;
+    int seen = 0;
+    int missed = 0;
+    auto run_for = [&](int milliseconds) {
+        for (int i = 0; i < milliseconds; ++i) {
+            loop.run_for(ms(1));
+            bool changed = a.connected("b") != std::exchange(was_connected, a.connected("b"));
+            bool told = a.connection_changes() != std::exchange(counted, a.connection_changes());
+            seen += changed ? 1 : 0;
+            missed += changed && !told ? 1 : 0;
+        }
+    };
+    auto start = [&](std::uint16_t port, std::uint64_t incarnation) {
+        auto b = std::make_unique<peer_transport>(loop, "test", "b", test_address(port), metrics, ignore);
+        b->set_incarnation(incarnation);
+        b->add_peer("a", test_address(8014));
+        return b;
+    };
+    auto old_process = start(8015, 5);
+    run_for(50);
+    CHECK_FALSE(was_connected);  // nothing tells a who connected
+    old_process->send("a", wire::config_ack_t{});
+    run_for(50);
+    CHECK(was_connected);
+    a.add_peer("b", test_address(8015));
+    CHECK_FALSE(a.update_peer("b", test_address(8015), 5));
+    run_for(50);
+    old_process->remove_peer("a");  // the connection of a remains
+    run_for(50);
+    CHECK(was_connected);
+    a.send("b", wire::config_ack_t{});  // tells the old process whose connection it is
+    run_for(50);
+    old_process->send("a", wire::config_ack_t{});  // its incarnation becomes known on that connection
+    run_for(50);
+    std::uint64_t before = a.connection_changes();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(a.send("b", wire::config_ack_t{}));
+        old_process->send("a", wire::config_ack_t{});
+        run_for(5);
+    }
+    CHECK(a.connection_changes() == before);
+    old_process.reset();
+    run_for(50);
+    CHECK_FALSE(was_connected);
+    auto new_process = start(8016, 6);
+    run_for(50);
+    new_process->send("a", wire::config_ack_t{});
+    run_for(50);
+    CHECK(was_connected);
+    CHECK(a.update_peer("b", test_address(8017), 7));  // nobody listens there, and incarnation 6 counts no longer
+    run_for(1);
+    CHECK_FALSE(was_connected);
+    CHECK(a.update_peer("b", test_address(8016), 8));
+    run_for(700);
+    CHECK(was_connected);
+    a.remove_peer("b");
+    run_for(50);
+    CHECK_FALSE(was_connected);
+    CHECK(seen == 6);
+    CHECK(missed == 0);
+}
+
 // A write from a timer right after a completed partial write left h2o polling a socket without a write: it aborted the
 // process ("write_pending") when the socket became writable again. Seen on a leader that sent 18 MB to a new member.
 // The reader takes small steps, so that the partial write ends while the socket is still too full to count as writable.
