Keep the amounts above the floors of each edge between pings

Cause: to answer a ping, the leader adds up for each resource what every edge may use above its floor, and computed each of these amounts again from the list of grants: 49 rates x 200 edges x 800 pings a second. In a profile of the leader at 200 edges (perf, 10 s) above_floor takes 43% of the samples.

Change: the granter keeps each amount with the time until which it holds, and forgets it when the edge pings, when it is granted something and when the floors change. The sum is still made from the amounts in the same order, so that no rounding error can collect. The granter also looks up the book of a resource once less for each grant.

--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -157,8 +157,14 @@
         bool floor_lent = false;              // rates only, as last reported
         time_point floor_lent_until{};        // rates only; the edge certainly does not use its floor before
     };
+    struct timed_amount {  // as computed, and the times for which it holds
+        double amount = 0;
+        time_point from{};
+        time_point until{};  // `from`: not computed
+    };
     struct share_book {                    // all edges' accounts of one resource
         std::vector<account> accounts;     // indexed as `edges`
+        std::vector<timed_amount> above;   // results of above_floor, indexed as `edges`
         std::vector<double> floors;        // counted floors
         std::uint64_t floors_version = 0;  // of `floors`
         double level = 0;                  // no edge gets more than this above its floor when demand exceeds the limit
@@ -200,14 +206,17 @@
     bool past_counts(const past_limits& past, const edge_entry& edge, time_point now) const;
     double floor_in_use(const share_book& shares, std::size_t edge, time_point now) const;
     double floors_in_use(const share_book& shares, time_point now) const;
-    double above_floor(const resource& subject, const share_book& shares, std::size_t edge, time_point now) const;
+    timed_amount compute_above_floor(const resource& subject, const share_book& shares, std::size_t edge,
+                                     time_point now) const;
+    double above_floor(const resource& subject, share_book& shares, std::size_t edge, time_point now) const;
+    void forget_above_floor(std::size_t edge);
     double need(const resource& subject, const share_book& shares, std::size_t edge, time_point now) const;
     void refresh_level(const resource& subject, share_book& shares, double divisible, time_point now) const;
     double whole_units(const resource& subject, const share_book& shares, std::size_t edge, double divisible,
                        time_point now) const;
     double allocation(const resource& subject, share_book& shares, std::size_t edge, double divisible,
                       time_point now) const;
-    double grant_amount(const resource& subject, std::size_t edge, time_point now);
+    double grant_amount(const resource& subject, share_book& shares, std::size_t edge, time_point now);
     bool concurrency_known(time_point now) const;
 
     lease_options options;
--- a/src/limits/lease_granter.cpp
+++ b/src/limits/lease_granter.cpp
@@ -111,6 +111,7 @@
     if (shares.floors_version == this->floors_version) {
         return;
     }
+    std::fill(shares.above.begin(), shares.above.end(), timed_amount{});
     shares.floors = this->current.floors(this->edge_ids, subject);
     for (const auto& past : this->past) {
         if (past.limits.limit(subject) == unlimited) {
@@ -142,6 +143,7 @@
     if (ping.incarnation < edge.incarnation) {
         return false;
     }
+    this->forget_above_floor(index);
     if (ping.incarnation > edge.incarnation) {
         this->orphan_grants(index, now);
         edge.incarnation = ping.incarnation;
@@ -290,13 +292,14 @@
     for (auto& [subject, shares] : this->books) {
         account& entry = shares.accounts[edge];
         bool reported = entry.reported_sequence == ping.sequence;
-        double amount = reported ? std::max(0.0, this->grant_amount(subject, edge, now)) : 0;
+        double amount = reported ? std::max(0.0, this->grant_amount(subject, shares, edge, now)) : 0;
         if (is_rate(subject)) {
             bool unchanged = entry.sent_amount <= amount && amount <= entry.sent_amount * unchanged_grant;
             amount = unchanged ? entry.sent_amount : round_down(amount);
         }
         if (amount > 0) {
             entry.grants.push_back({amount, ping.sequence, granter_expiry(now, this->options.lease)});
+            shares.above[edge] = {};
         }
         if (amount == entry.sent_amount) {
             continue;
@@ -324,6 +327,7 @@
     share_book& shares = this->books[subject];
     if (shares.accounts.empty()) {
         shares.accounts.resize(this->edge_ids.size());
+        shares.above.resize(this->edge_ids.size());
     }
     this->refresh_floors(subject, shares);
     return shares;
@@ -349,24 +353,44 @@
 
 // What an edge may use or occupy above its counted floor. A slot taken just before a lease expired stays occupied until
 // the edge reports otherwise, or until the longest request must have ended.
-double lease_granter::above_floor(const resource& subject, const share_book& shares, std::size_t edge,
-                                  time_point now) const {
+lease_granter::timed_amount lease_granter::compute_above_floor(const resource& subject, const share_book& shares,
+                                                               std::size_t edge, time_point now) const {
     const account& entry = shares.accounts[edge];
     duration hold = is_rate(subject) ? ms(0) : this->options.concurrency_hold;
-    double result = 0;
+    timed_amount result{0, now, time_point::max()};
     for (const auto& granted : entry.grants) {
         if (now < granted.counted_until + hold) {
-            result = std::max(result, granted.amount);
+            result.amount = std::max(result.amount, granted.amount);
+            result.until = std::min(result.until, granted.counted_until + hold);
         }
     }
     const edge_entry& state = this->edges[edge];
     bool reported = state.heard && entry.reported_sequence == state.last_sequence && now < state.last_ping_at + hold;
     if (reported) {
-        result = std::max(result, entry.used - shares.floors[edge]);
+        result.amount = std::max(result.amount, entry.used - shares.floors[edge]);
+        result.until = std::min(result.until, state.last_ping_at + hold);
     }
     return result;
 }
 
+// Every answer adds this up over all edges for each resource, while it changes only with a ping of its own edge, with
+// the floors and with the end of a grant. The sum itself is not kept: repeated corrections would collect rounding
+// errors.
+double lease_granter::above_floor(const resource& subject, share_book& shares, std::size_t edge, time_point now) const {
+    timed_amount& known = shares.above[edge];
+    if (now < known.from || now >= known.until) {
+        known = this->compute_above_floor(subject, shares, edge, now);
+    }
+    return known.amount;
+}
+
+// To be called before anything changes that above_floor depends on, apart from the floors.
+void lease_granter::forget_above_floor(std::size_t edge) {
+    for (auto& [subject, shares] : this->books) {
+        shares.above[edge] = {};
+    }
+}
+
 // Demand of an edge above its floor; 0 for an edge that has not pinged for one lease.
 double lease_granter::need(const resource& subject, const share_book& shares, std::size_t edge, time_point now) const {
     const account& entry = shares.accounts[edge];
@@ -454,7 +478,7 @@
     return std::min(shares.level, need + shares.spare);
 }
 
-double lease_granter::grant_amount(const resource& subject, std::size_t edge, time_point now) {
+double lease_granter::grant_amount(const resource& subject, share_book& shares, std::size_t edge, time_point now) {
     double limit = this->current.limit(subject);
     if (limit == unlimited || now < this->no_grants_until) {
         return 0;
@@ -462,7 +486,7 @@
     if (!is_rate(subject) && !this->concurrency_known(now)) {
         return 0;
     }
-    share_book& shares = this->book(subject);
+    this->refresh_floors(subject, shares);
     duration hold = is_rate(subject) ? ms(0) : this->options.concurrency_hold;
     std::erase_if(shares.accounts[edge].grants, [&](const grant& old) { return now >= old.counted_until + hold; });
     double divisible = limit - this->floors_in_use(shares, now);
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -414,6 +414,69 @@
     });
 }
 
+// Guards against an amount of another edge that the granter remembers although it has changed: asking for the amounts
+// in use makes it remember them, and must change no later answer.
+TEST_CASE("asking for the amounts in use changes no grant") {
+    rc::prop("random pings, restarts, limits and pauses", [] {
+        std::mt19937_64 random(any_seed());
+        auto pick = [&](std::uint64_t below) { return random() % below; };
+        const auto names = edge_names(4);
+        lease_granter asked(names);
+        lease_granter plain(names);
+        time_point now{ms(1000)};
+        std::uint64_t revision = 0;
+        auto change_limits = [&] {
+            auto configuration = make_configuration(++revision, 50.0 * static_cast<double>(1 + pick(20)), 64, 9);
+            asked.apply(configuration, now);
+            plain.apply(configuration, now);
+        };
+        change_limits();
+        asked.become_leader(1, now);
+        plain.become_leader(1, now);
+        std::vector<std::uint64_t> sequences(names.size(), 0);
+        std::vector<std::uint64_t> answered(names.size(), 0);
+        std::vector<std::uint64_t> incarnations(names.size(), 1);
+        for (int step = 0; step < 150; ++step) {
+            now += ms(static_cast<std::int64_t>(pick(10) == 0 ? pick(3000) : pick(120)));
+            if (pick(40) == 0) {
+                change_limits();
+            }
+            std::size_t i = pick(names.size());
+            if (pick(30) == 0) {
+                ++incarnations[i];
+                sequences[i] = 0;
+                answered[i] = 0;
+            }
+            wire::edge_ping_t ping;
+            ping.edge = names[i];
+            ping.incarnation = incarnations[i];
+            ping.sequence = pick(15) == 0 ? sequences[i] : ++sequences[i];
+            ping.applied_revision = pick(10) == 0 ? revision - 1 : revision;
+            ping.answered_term = 1;
+            ping.answered_sequence = answered[i];
+            for (std::uint16_t rate = 0; rate < 2; ++rate) {
+                double scale = rate == 0 ? 100 : 1e6;
+                ping.rates.emplace_back(rate, pick(3) == 0, static_cast<float>(scale * static_cast<double>(pick(9))),
+                                        static_cast<float>(scale * static_cast<double>(pick(5))));
+            }
+            auto& demand = ping.demands.emplace_back(std::make_unique<wire::resource_demand_t>());
+            demand->resource = std::make_unique<wire::resource_id_t>();
+            demand->resource->kind = slots.kind;
+            demand->resource->subject = slots.subject;
+            demand->wanted = static_cast<double>(pick(9));
+            demand->used = static_cast<double>(pick(4));
+            answered[i] = pick(4) == 0 ? answered[i] : ping.sequence;
+            RC_ASSERT(asked.answer(ping, now) == plain.answer(ping, now));
+            for (const resource* subject : {&region, &link_bytes, &slots}) {
+                asked.counted(*subject, now);
+            }
+        }
+        for (const resource* subject : {&region, &link_bytes, &slots}) {
+            RC_ASSERT(asked.counted(*subject, now) == plain.counted(*subject, now));
+        }
+    });
+}
+
 // Guards against clocks that differ by 1%: a granter that runs fast must not give a lease to another edge before the
 // holder, which runs slowly, has stopped to use it.
 TEST_CASE("a lease of a slow clock ends before a fast granter gives it away") {
