Poll once, not twice, for each timer

Timers now run inside h2o's turn, which runs these completions itself, so the second poll finds nothing.

Change: timers and signal callbacks no longer ask for a poll without waiting.

The wake-ups remain: 200 a second of the timer that retries waiting requests, 50 of the ledger, 50 of the check for closed callers, which run with nothing to do.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -48,6 +48,7 @@
     turn poll_turn;
     bool stopped = false;
     // Completions of writes that were started before run() only run after the first poll, so that poll must not wait.
+    // Timers and signal callbacks need no such poll: they run in a turn, which ends with these completions.
     bool work_started = true;
     bool poll_work = false;  // a poll callback has started writes
     timer_id next_id = 1;
@@ -105,7 +106,6 @@
             auto [due, id] = node.key();
             this->due_times.erase(id);
             timer entry = std::move(node.mapped());
-            this->work_started = true;
             if (entry.period == duration::zero()) {
                 entry.callback();
                 continue;
@@ -122,7 +122,6 @@
     void run_signal_callbacks() {
         for (auto& [number, callback] : this->signal_callbacks) {
             if (signal_pending.at(static_cast<std::size_t>(number)).exchange(false)) {
-                this->work_started = true;
                 callback();
             }
         }
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -66,6 +66,21 @@
     }
 }
 
+// Guards against a second poll after each timer, which doubled the processor time of idle processes.
+TEST_CASE("a timer takes one turn of the loop") {
+    event_loop loop;
+    int runs = 0;
+    int turns = 0;
+    loop.after_each_poll([&] {
+        ++turns;
+        return false;
+    });
+    loop.every(ms(5), [&] { ++runs; });
+    loop.run_for(ms(500));
+    CHECK(runs > 10);
+    CHECK(turns <= runs + 10);  // the first poll, and one for each wait that ends just before a timer is due
+}
+
 // Guards against waiting for a poll timeout of 100 ms between a request that is sent from a callback and its answer.
 TEST_CASE("requests sent from a callback of the client are answered without delay") {
     event_loop loop;
