Distribute target updates and notices over aggregators

Cause: every edge sent each target update and quarantine notice to every other edge, and each target update also to the leader, which ignores it.

Change: update_relay, a core without clock or sockets, computes zone and region aggregators from the edge list and decides what goes where. The edge daemon uses it as it is. Renewals of leases are collected for 50 ms at each hop; new or changed targets, late renewals and notices are sent at once. A new or unreachable destination gets the whole state when it can be reached. Slow start left (cold_ms) goes with the whole state, so that a target that has just started is not taken for a warm one. Quarantines have versions: a late notice would otherwise restore a withdrawn quarantine, and both could chase each other. An announcement made before a loss no longer counts as a sign of life after it, because collected renewals arrive later.

--- a/include/persimmongrade/quarantine.h
+++ b/include/persimmongrade/quarantine.h
@@ -3,10 +3,14 @@
 //     if (requests.quarantined(now, service, fingerprint)) refuse(wire::refusal_reason::quarantined);
 //     send(requests.connection_lost(now, {service, fingerprint, target, region}));
 //     send(requests.target_gone(now, service, target));   // refused a connection, or its announcements stopped
-//     requests.target_alive(now, service, target);        // announced itself or answered
+//     requests.target_alive(service, target);             // announced itself or answered
 //
 // A loss counts once the target is confirmed dead after it. Notices go to every other edge: with one target they
 // report a confirmed death, so that deaths seen by different edges add up; with two or more the quarantine itself.
+//
+// Notices about one request may arrive by several ways and out of order. Quarantines of a request therefore have rising
+// versions, a withdrawal follows the quarantine of its version, and a notice that is not newer changes nothing. Without
+// this order, a quarantine and its withdrawal could overtake each other among the edges without end.
 
 #pragma once
 
@@ -36,6 +40,12 @@
     std::string region;
 };
 
+// Effect of a received notice.
+struct notice_outcome {
+    bool changed = false;                              // it was not known here: other edges may need it as well
+    std::vector<wire::quarantine_notice_t> decided{};  // notices that this edge decided because of it
+};
+
 class quarantine {
 public:
     bool quarantined(time_point now, std::string_view service, std::uint64_t fingerprint) const;
@@ -47,10 +57,11 @@
     std::vector<wire::quarantine_notice_t> target_gone(time_point now, const std::string& service,
                                                        const std::string& target);
 
-    // The target announced itself or answered: a loss on it that is not yet confirmed was only a broken connection.
-    void target_alive(const std::string& service, const std::string& target);
+    // The target announced itself or answered: an earlier loss on it that is not yet confirmed was only a broken
+    // connection.
+    void target_alive(const std::string& service, const std::string& target, time_point at = time_point::max());
 
-    std::vector<wire::quarantine_notice_t> receive(time_point now, const wire::quarantine_notice_t& notice);
+    notice_outcome receive(time_point now, const wire::quarantine_notice_t& notice);
     void tick(time_point now);  // forgets expired entries and losses
 
     std::vector<wire::quarantine_notice_t> all(time_point now) const;  // for an edge that connects
@@ -68,9 +79,11 @@
     struct quarantined_entry {
         time_point expires_at;
         wire::quarantine_notice_t notice;
+        bool withdrawn = false;  // kept so that a late notice of the same version does not restore the quarantine
     };
 
-    std::vector<wire::quarantine_notice_t> mark_region_failures(const std::string& region);
+    notice_outcome receive_decision(time_point now, const wire::quarantine_notice_t& notice);
+    std::vector<wire::quarantine_notice_t> mark_region_failures(time_point now, const std::string& region);
     std::vector<wire::quarantine_notice_t> evaluate(time_point now, const fingerprint_key& key);
     std::vector<const loss*> deaths(const fingerprint_key& key) const;
     static wire::quarantine_notice_t notice_of(time_point now, const std::vector<const loss*>& deaths,
--- a/include/persimmongrade/target_pool.h
+++ b/include/persimmongrade/target_pool.h
@@ -1,7 +1,6 @@
 // Target membership and load balancing of one edge.
 //
 //     pool.announce(now, info);                                        // POST /v1/targets
-//     broadcast(pool.take_delta(now));                                 // target_update to the other edges
 //     if (auto target = pool.pick(now, "crew-dispatch", {"north"}, tried)) {
 //         pool.started(target->service, target->id);
 //         ...
@@ -29,7 +28,8 @@
 
 namespace persimmongrade {
 
-inline constexpr duration target_lease = ms(3000);  // from the last announcement
+inline constexpr duration target_lease = ms(3000);     // from the last announcement
+inline constexpr duration news_lease_left = ms(1250);  // a renewal later than that shows that an update was lost
 inline constexpr duration slow_start_time = ms(10000);
 inline constexpr double slow_start_floor = 0.1;        // share of its slots that a cold target starts with
 inline constexpr std::uint32_t ejection_failures = 5;  // consecutive; sheds do not count
@@ -77,6 +77,17 @@
     bool operator==(const target_view&) const = default;
 };
 
+// A target whose state was replaced by a newer one.
+struct target_change {
+    std::string service;
+    std::string id;
+    time_point announced_at{};  // for targets of other edges without the time that the message took
+    bool news =
+        false;  // new, started anew, in another state, or renewed with less than news_lease_left; else a renewal
+
+    bool operator==(const target_change&) const = default;
+};
+
 enum class selection_method : std::uint8_t { two_random_choices, round_robin, full_scan };
 
 struct target_pool_options {
@@ -88,18 +99,19 @@
 public:
     explicit target_pool(target_pool_options options);
 
-    // An announcement received by this edge. False when it is older (incarnation, sequence) than the known one.
-    bool announce(time_point now, const wire::target_info_t& info);
+    // An announcement received by this edge. Nothing when it is not newer (incarnation, sequence) than the known one.
+    std::optional<target_change> announce(time_point now, const wire::target_info_t& info);
 
     // State from another edge. Leases end when they end there (lease_ms). Targets first learned from a full update are
-    // not cold: the other edge knew them before.
-    void apply(time_point now, const wire::target_update_t& update);
+    // cold for as long as they are at the other edge, which knew them before. Returns what was newer than known here.
+    std::vector<target_change> apply(time_point now, const wire::target_update_t& update);
 
     // Removes targets whose lease ended and returns them; ends ejections.
     std::vector<target_choice> tick(time_point now);
 
-    // Announcements accepted here since the last call, for the other edges; and all of them, for a new connection.
-    wire::target_update_t take_delta(time_point now);
+    // For other edges: one target, the targets whose newest announcement this edge received, and all targets.
+    std::optional<wire::target_info_t> state_of(time_point now, std::string_view service, std::string_view id) const;
+    wire::target_update_t local_update(time_point now) const;
     wire::target_update_t full_update(time_point now) const;
 
     // Drains from the configuration, in addition to the state that targets announce. Replaces the former set.
@@ -138,7 +150,7 @@
         double latency_ms = 0;  // smoothed
         double trouble = 0;     // smoothed share of errors and sheds, 0 to 1
         time_point troubled_at;
-        bool local_change = false;  // announced here since the last take_delta()
+        bool local = false;  // the newest announcement was received by this edge
     };
     using service_targets = std::map<std::string, target, std::less<>>;
     struct candidate {
@@ -150,7 +162,9 @@
     std::vector<candidate> candidates(time_point now, std::string_view service, const std::vector<std::string>& regions,
                                       const std::vector<std::string>& excluded, Usable usable) const;
     std::optional<target_choice> choose(const std::vector<candidate>& from);
-    bool store(time_point now, const wire::target_info_t& info, duration lease, bool local, bool warm);
+    std::optional<target_change> store(time_point now, const wire::target_info_t& info, duration lease, bool local,
+                                       duration cold);
+    wire::target_update_t update_of(time_point now, bool full) const;
     bool draining(const target& which) const;
     bool matches(time_point now, const target& which, const std::vector<std::string>& regions,
                  const std::vector<std::string>& excluded) const;
--- /dev/null
+++ b/include/persimmongrade/update_relay.h
@@ -0,0 +1,125 @@
+// Distribution of target updates and quarantine notices among edges over a tree of aggregators. Pure: time is an
+// argument, and the messages to send are returned.
+//
+//     relay.set_edges(now, list.entries());         // whenever the edge list changed
+//     relay.announce(now, info);                    // POST /v1/targets
+//     relay.receive(now, from, update or notice);   // from another edge
+//     relay.report(now, notices);                   // decided by this edge's quarantine
+//     relay.tick(now);                              // at next_tick()
+//     for (auto& message : messages) if (!send(message)) relay.not_sent(now, message.to);
+//
+// In each availability zone one edge is the zone aggregator, and in each region one of the zone aggregators is also the
+// region aggregator. An edge sends what its own targets announced to its zone aggregator; aggregators pass on what
+// changed their own state. Every edge passes on one state of a target at most once to each destination, so edges whose
+// lists differ cannot cause a loop.
+//
+// Renewals of leases are collected for relay_period. News (a target that is new, started anew, changed its state, or
+// whose lease is about to end) and notices are sent at once.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "messages_generated.h"
+#include "persimmongrade/clock.h"
+#include "persimmongrade/quarantine.h"
+#include "persimmongrade/target_pool.h"
+
+namespace persimmongrade {
+
+// An update passes at most five edges, so that collecting renewals costs at most 250 ms of the 3 s lease.
+inline constexpr duration relay_period = ms(50);
+inline constexpr duration relay_retry = ms(250);  // until the whole state is sent again to an unreachable destination
+
+struct edge_place {
+    std::string id;
+    std::string region;
+    std::string zone;
+
+    bool operator==(const edge_place&) const = default;
+};
+
+// The place of one edge in the tree. Lists are sorted and do not contain the edge itself.
+struct tree_position {
+    std::string zone_aggregator;                  // empty: unknown, send to every edge of the settings
+    std::string region_aggregator;                // of the own region
+    std::vector<std::string> zone_edges;          // for a zone aggregator
+    std::vector<std::string> zone_aggregators;    // for a region aggregator: of the other zones of its region
+    std::vector<std::string> region_aggregators;  // for a region aggregator: of the other regions
+
+    bool operator==(const tree_position&) const = default;
+};
+
+using edge_entries = std::vector<std::unique_ptr<wire::edge_info_t>>;
+
+// Aggregators are chosen among the working edges (alive and not stopping) by the highest hash. A zone without a working
+// edge keeps an aggregator: stopping edges, and edges that only the leader cannot reach, still use targets.
+tree_position find_tree_position(const edge_place& self, const edge_entries& edges);
+
+struct relay_message {
+    std::string to;
+    wire::messageUnion message;
+};
+using relay_messages = std::vector<relay_message>;
+
+struct relay_options {
+    edge_place self;
+    std::vector<std::string> settings_edges;  // used until the edge list is known
+    std::function<tree_position(const edge_place&, const edge_entries&)> position = find_tree_position;
+};
+
+class update_relay {
+public:
+    // The pool and the quarantine must outlive the relay.
+    update_relay(relay_options options, target_pool& targets, quarantine& crashes);
+
+    relay_messages set_edges(time_point now, const edge_entries& edges);
+    relay_messages announce(time_point now, const wire::target_info_t& info);
+    relay_messages receive(time_point now, const std::string& from, const wire::target_update_t& update);
+    relay_messages receive(time_point now, const std::string& from, const wire::quarantine_notice_t& notice);
+    relay_messages report(time_point now, const std::vector<wire::quarantine_notice_t>& notices) const;
+    relay_messages tick(time_point now);
+    std::optional<time_point> next_tick() const;  // none: nothing waits
+
+    // There was no connection: the destination gets the whole state once it can be reached.
+    void not_sent(time_point now, const std::string& to);
+
+    const tree_position& position() const noexcept { return this->place; }
+
+private:
+    struct destination {
+        std::uint64_t incarnation = 0;
+        bool alive = false;
+        std::optional<time_point> state_due;  // the whole state is to be sent then
+    };
+    using target_key = std::pair<std::string, std::string>;  // service, id
+
+    bool is_zone_aggregator() const;
+    bool may_pass(const std::string& from, const std::string& to) const;
+    std::map<std::string, destination> find_destinations(const edge_entries& edges) const;
+    void collect(time_point now, const std::string& from, const target_change& change);
+    void note_state_due(time_point due);
+    void append_state(time_point now, const std::string& to, relay_messages& messages) const;
+    relay_messages flush_when_due(time_point now);
+    relay_messages flush(time_point now);
+
+    relay_options options;
+    target_pool& targets;
+    quarantine& crashes;
+    tree_position place;
+    std::map<std::string, destination> destinations;
+    std::set<std::string> other_regions;          // edges in other regions, as listed
+    std::map<target_key, std::string> collected;  // sender of each changed target; empty: announced here
+    time_point flush_at{};                        // of `collected`
+    std::optional<time_point> first_state_due;    // of all destinations
+};
+
+}  // namespace persimmongrade
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -14,6 +14,7 @@
 #include "persimmongrade/http_server.h"
 #include "persimmongrade/log.h"
 #include "persimmongrade/peer_transport.h"
+#include "persimmongrade/update_relay.h"
 
 namespace persimmongrade {
 
@@ -74,6 +75,9 @@
     peer_transport peers;
     http_server http;
     edge_list live_edges;
+    update_relay relay;
+    timer_id relay_timer = 0;
+    std::optional<time_point> relay_timer_at;
     std::vector<timer_id> timers;
     std::function<void()> on_stopped;
     time_point stop_started{};
@@ -93,8 +97,11 @@
           http(loop, ip_address::parse(this->settings.http_address), this->http_options(options),
                [this](http_request request, const std::shared_ptr<http_exchange>& exchange) {
                    this->handle(std::move(request), exchange);
-               }) {
-        this->edge.send_notices = [this](const auto& notices) { this->send_notices(notices); };
+               }),
+          relay(this->relay_settings(), this->edge.targets, this->edge.crashes) {
+        this->edge.send_notices = [this](const auto& notices) {
+            this->distribute(this->relay.report(this->loop.now(), notices));
+        };
         this->edge.report_demand = [this] { this->ping_early(); };
         this->peers.set_incarnation(this->incarnation);
         this->connect(this->settings.control);
@@ -106,6 +113,7 @@
 
     ~impl() {
         this->loop.cancel(this->early_ping_timer);
+        this->loop.cancel(this->relay_timer);
         for (timer_id id : this->timers) {
             this->loop.cancel(id);
         }
@@ -198,9 +206,12 @@
             config_actions actions = this->edge.config.receive(now, envelope.from, pong);
             if (actions.pong_accepted) {
                 this->edge.leases.receive(pong, now);
-                this->live_edges.receive(pong);
+                bool changed = this->live_edges.receive(pong);
                 this->edge.lookups.set_edges(this->live_edges.entries(), this->ready());
                 this->follow_edges();
+                if (changed) {
+                    this->distribute(this->relay.set_edges(now, this->live_edges.entries()));
+                }
             }
             this->perform(std::move(actions));
             return;
@@ -215,10 +226,10 @@
             this->perform(this->edge.config.receive(now, envelope.from, *body.Asconfig_part()));
             return;
         case wire::message::target_update:
-            this->apply_update(*body.Astarget_update());
+            this->distribute(this->relay.receive(now, envelope.from, *body.Astarget_update()));
             return;
         case wire::message::quarantine_notice:
-            this->send_notices(this->edge.crashes.receive(now, *body.Asquarantine_notice()));
+            this->distribute(this->relay.receive(now, envelope.from, *body.Asquarantine_notice()));
             return;
         default:
             this->ledger.receive(envelope.from, body);
@@ -266,45 +277,48 @@
     void maintain_targets() {
         time_point now = this->loop.now();
         for (const target_choice& gone : this->edge.targets.tick(now)) {
-            this->send_notices(this->edge.crashes.target_gone(now, gone.service, gone.id));
+            this->edge.send_notices(this->edge.crashes.target_gone(now, gone.service, gone.id));
         }
         this->edge.crashes.tick(now);
         this->edge.lookups.set_edges(this->live_edges.entries(), this->ready());  // readiness may have ended
     }
 
-    void apply_update(const wire::target_update_t& update) {
-        this->edge.targets.apply(this->loop.now(), update);
-        for (const auto& target : update.targets) {
-            this->edge.crashes.target_alive(target->service, target->id);
-        }
-    }
-
     void announce(const http_request& request, http_exchange& exchange) {
         wire::target_info_t target = parse_announcement(request.body);
-        time_point now = this->loop.now();
-        if (this->edge.targets.announce(now, target)) {
-            this->edge.crashes.target_alive(target.service, target.id);
-            wire::target_update_t update = this->edge.targets.take_delta(now);
-            this->send_to_edges(update);
-            if (!this->edge.config.leader().empty()) {
-                this->peers.send(this->edge.config.leader(), std::move(update));
-            }
-        }
+        this->distribute(this->relay.announce(this->loop.now(), target));
         exchange.respond(announcement_response(this->edge.index->drained(target.id)));
     }
 
-    template <typename Body>
-    void send_to_edges(const Body& body) {
-        for (const auto& peer : this->settings.edges) {
-            if (peer->id != this->settings.id) {
-                this->peers.send(peer->id, Body(body));
-            }
-        }
+    // ---- Distribution to other edges ----
+
+    relay_options relay_settings() const {
+        relay_options options;
+        options.self = {this->settings.id, this->settings.region, this->settings.zone};
+        std::transform(this->settings.edges.begin(), this->settings.edges.end(),
+                       std::back_inserter(options.settings_edges), [](const auto& peer) { return peer->id; });
+        return options;
     }
 
-    void send_notices(const std::vector<wire::quarantine_notice_t>& notices) {
-        for (const wire::quarantine_notice_t& notice : notices) {
-            this->send_to_edges(notice);
+    void distribute(relay_messages messages) {
+        time_point now = this->loop.now();
+        for (relay_message& message : messages) {
+            if (!this->peers.send_message(message.to, std::move(message.message))) {
+                this->relay.not_sent(now, message.to);
+            }
+        }
+        auto next = this->relay.next_tick();
+        if (next == this->relay_timer_at) {
+            return;
+        }
+        this->loop.cancel(this->relay_timer);
+        this->relay_timer = 0;
+        this->relay_timer_at = next;
+        if (next) {
+            this->relay_timer = this->loop.after(std::max(duration::zero(), *next - now), [this] {
+                this->relay_timer = 0;
+                this->relay_timer_at.reset();
+                this->distribute(this->relay.tick(this->loop.now()));
+            });
         }
     }
 
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -7,12 +7,12 @@
 
 bool quarantine::quarantined(time_point now, std::string_view service, std::uint64_t fingerprint) const {
     auto found = this->entries.find({std::string(service), fingerprint});
-    return found != this->entries.end() && now < found->second.expires_at;
+    return found != this->entries.end() && !found->second.withdrawn && now < found->second.expires_at;
 }
 
 std::vector<wire::quarantine_notice_t> quarantine::connection_lost(time_point now, const lost_request& lost) {
     this->losses.push_back({lost, now});
-    return this->mark_region_failures(lost.region);
+    return this->mark_region_failures(now, lost.region);
 }
 
 std::vector<wire::quarantine_notice_t> quarantine::target_gone(time_point now, const std::string& service,
@@ -33,30 +33,41 @@
     return notices;
 }
 
-void quarantine::target_alive(const std::string& service, const std::string& target) {
+void quarantine::target_alive(const std::string& service, const std::string& target, time_point at) {
     std::erase_if(this->losses, [&](const loss& entry) {
-        return !entry.confirmed && entry.what.service == service && entry.what.target == target;
+        return !entry.confirmed && entry.at <= at && entry.what.service == service && entry.what.target == target;
     });
 }
 
-std::vector<wire::quarantine_notice_t> quarantine::receive(time_point now, const wire::quarantine_notice_t& notice) {
+notice_outcome quarantine::receive_decision(time_point now, const wire::quarantine_notice_t& notice) {
+    bool withdrawal = notice.expires_in_ms == 0;
+    auto expires_at = now + (withdrawal ? quarantine_time : std::min(ms(notice.expires_in_ms), quarantine_time));
+    auto [position, added] = this->entries.try_emplace({notice.service, notice.fingerprint});
+    quarantined_entry& entry = position->second;
+    auto known = std::pair(entry.notice.version, entry.withdrawn);
+    if (!added && std::pair(notice.version, withdrawal) <= known) {
+        bool repeated = std::pair(notice.version, withdrawal) == known;
+        entry.expires_at = repeated && !withdrawal ? std::max(entry.expires_at, expires_at) : entry.expires_at;
+        return {};
+    }
+    entry = {expires_at, notice, withdrawal};
+    return {true};
+}
+
+notice_outcome quarantine::receive(time_point now, const wire::quarantine_notice_t& notice) {
     fingerprint_key key{notice.service, notice.fingerprint};
     if (notice.targets.size() >= quarantine_targets) {
-        if (notice.expires_in_ms == 0) {
-            this->entries.erase(key);
-            return {};
-        }
-        auto expires_at = now + std::min(ms(notice.expires_in_ms), quarantine_time);
-        auto& entry = this->entries[key];
-        entry.expires_at = std::max(entry.expires_at, expires_at);
-        entry.notice = notice;
-        return {};
+        return this->receive_decision(now, notice);
     }
     if (notice.targets.size() != notice.regions.size() || notice.targets.size() != notice.lost_ms_ago.size()) {
         return {};
     }
-    std::vector<wire::quarantine_notice_t> notices;
+    notice_outcome outcome;
+    std::vector<wire::quarantine_notice_t>& notices = outcome.decided;
     for (std::size_t i = 0; i < notice.targets.size(); ++i) {
+        if (ms(notice.lost_ms_ago[i]) > quarantine_time) {
+            continue;  // would be forgotten at once, and count as unknown when it arrives again
+        }
         loss remote{{notice.service, notice.fingerprint, notice.targets[i], notice.regions[i]},
                     now - ms(notice.lost_ms_ago[i]),
                     true,
@@ -67,14 +78,15 @@
                    entry.what.target == remote.what.target;
         });
         if (!known) {
+            outcome.changed = true;
             this->losses.push_back(remote);
-            auto withdrawn = this->mark_region_failures(remote.what.region);
+            auto withdrawn = this->mark_region_failures(now, remote.what.region);
             notices.insert(notices.end(), withdrawn.begin(), withdrawn.end());
         }
     }
     auto found = this->evaluate(now, key);
     notices.insert(notices.end(), found.begin(), found.end());
-    return notices;
+    return outcome;
 }
 
 void quarantine::tick(time_point now) {
@@ -87,7 +99,7 @@
 std::vector<wire::quarantine_notice_t> quarantine::all(time_point now) const {
     std::vector<wire::quarantine_notice_t> notices;
     for (const auto& [key, entry] : this->entries) {
-        if (now < entry.expires_at) {
+        if (!entry.withdrawn && now < entry.expires_at) {
             notices.push_back(entry.notice);
             notices.back().expires_in_ms = static_cast<std::uint32_t>((entry.expires_at - now).count());
         }
@@ -100,7 +112,7 @@
 }
 
 // Marks the losses of a failed region. A quarantine decided before the failure was recognized is withdrawn.
-std::vector<wire::quarantine_notice_t> quarantine::mark_region_failures(const std::string& region) {
+std::vector<wire::quarantine_notice_t> quarantine::mark_region_failures(time_point now, const std::string& region) {
     std::set<fingerprint_key> changed;
     for (std::size_t first = 0; first < this->losses.size(); ++first) {
         auto together = [&, from = this->losses[first].at](const loss& entry) {
@@ -130,10 +142,11 @@
     std::vector<wire::quarantine_notice_t> notices;
     for (const auto& key : changed) {
         auto entry = this->entries.find(key);
-        if (entry != this->entries.end() && this->deaths(key).size() < quarantine_targets) {
+        bool decided = entry != this->entries.end() && !entry->second.withdrawn;
+        if (decided && this->deaths(key).size() < quarantine_targets) {
             notices.push_back(entry->second.notice);
             notices.back().expires_in_ms = 0;
-            this->entries.erase(entry);
+            entry->second = {now + quarantine_time, notices.back(), true};
         }
     }
     return notices;
@@ -150,7 +163,9 @@
             return {};
         }
         auto notice = notice_of(now, confirmed, quarantine_time);
-        this->entries[key] = {now + quarantine_time, notice};
+        quarantined_entry& entry = this->entries[key];
+        notice.version = entry.notice.version + 1;
+        entry = {now + quarantine_time, notice, false};
         return {notice};
     }
     if (confirmed.front()->remote) {
--- a/src/request/target_pool.cpp
+++ b/src/request/target_pool.cpp
@@ -32,35 +32,43 @@
 
 target_pool::target_pool(target_pool_options options) : options(options), random(options.seed) {}
 
-bool target_pool::announce(time_point now, const wire::target_info_t& info) {
-    return this->store(now, info, target_lease, true, false);
+std::optional<target_change> target_pool::announce(time_point now, const wire::target_info_t& info) {
+    return this->store(now, info, target_lease, true, slow_start_time);
 }
 
-void target_pool::apply(time_point now, const wire::target_update_t& update) {
+std::vector<target_change> target_pool::apply(time_point now, const wire::target_update_t& update) {
+    std::vector<target_change> changes;
     for (const auto& info : update.targets) {
-        this->store(now, *info, std::min(ms(info->lease_ms), target_lease), false, update.full);
+        duration cold = update.full ? std::min(ms(info->cold_ms), slow_start_time) : slow_start_time;
+        if (auto change = this->store(now, *info, std::min(ms(info->lease_ms), target_lease), false, cold)) {
+            changes.push_back(std::move(*change));
+        }
     }
+    return changes;
 }
 
-bool target_pool::store(time_point now, const wire::target_info_t& info, duration lease, bool local, bool warm) {
+std::optional<target_change> target_pool::store(time_point now, const wire::target_info_t& info, duration lease,
+                                                bool local, duration cold) {
     auto& pool = this->by_service[info.service];
     auto [position, added] = pool.try_emplace(info.id);
     auto& which = position->second;
     if (!added &&
         std::pair(info.incarnation, info.sequence) <= std::pair(which.info.incarnation, which.info.sequence)) {
-        return false;
+        return std::nullopt;
     }
+    bool news = added || info.incarnation != which.info.incarnation || info.state != which.info.state ||
+                which.expires_at < now + news_lease_left;
     if (added || info.incarnation != which.info.incarnation) {
         which = {};
-        which.warm_at = warm ? now : now + slow_start_time;
+        which.warm_at = now + cold;
         which.troubled_at = now;
         which.ejected_until = now;
     }
     which.info = info;
     which.expires_at = now + lease;
-    which.local_change = which.local_change || local;
+    which.local = local;
     this->keep_minimum(now, pool);
-    return true;
+    return target_change{info.service, info.id, now + lease - target_lease, news};
 }
 
 std::vector<target_choice> target_pool::tick(time_point now) {
@@ -83,28 +91,37 @@
 wire::target_info_t target_pool::with_lease(time_point now, const target& which) const {
     wire::target_info_t info = which.info;
     info.lease_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, (which.expires_at - now).count()));
+    info.cold_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, (which.warm_at - now).count()));
     return info;
 }
 
-wire::target_update_t target_pool::take_delta(time_point now) {
-    wire::target_update_t update;
-    for (auto& [service, pool] : this->by_service) {
-        for (auto& [id, which] : pool) {
-            if (which.local_change && now < which.expires_at) {
-                update.targets.push_back(std::make_unique<wire::target_info_t>(this->with_lease(now, which)));
-            }
-            which.local_change = false;
-        }
+std::optional<wire::target_info_t> target_pool::state_of(time_point now, std::string_view service,
+                                                         std::string_view id) const {
+    auto pool = this->by_service.find(service);
+    if (pool == this->by_service.end()) {
+        return std::nullopt;
     }
-    return update;
+    auto found = pool->second.find(id);
+    if (found == pool->second.end() || now >= found->second.expires_at) {
+        return std::nullopt;
+    }
+    return this->with_lease(now, found->second);
+}
+
+wire::target_update_t target_pool::local_update(time_point now) const {
+    return this->update_of(now, false);
 }
 
 wire::target_update_t target_pool::full_update(time_point now) const {
+    return this->update_of(now, true);
+}
+
+wire::target_update_t target_pool::update_of(time_point now, bool full) const {
     wire::target_update_t update;
-    update.full = true;
+    update.full = full;
     for (const auto& [service, pool] : this->by_service) {
         for (const auto& [id, which] : pool) {
-            if (now < which.expires_at) {
+            if (now < which.expires_at && (full || which.local)) {
                 update.targets.push_back(std::make_unique<wire::target_info_t>(this->with_lease(now, which)));
             }
         }
--- a/tests/request/test_targets.cpp
+++ b/tests/request/test_targets.cpp
@@ -95,12 +95,12 @@
     auto restarted = info_of(1, 1);
     restarted.incarnation = 2;
     CHECK(pool.announce(start, restarted));
-    auto delta = pool.take_delta(start + ms(1000));
+    auto delta = pool.local_update(start + ms(1000));
     REQUIRE(delta.targets.size() == 1);
     CHECK(delta.targets[0]->lease_ms == 2000);
-    CHECK(pool.take_delta(start + ms(1000)).targets.empty());
-    other.apply(start + ms(1000), delta);
-    CHECK(other.take_delta(start + ms(1000)).targets.empty());  // no echo between edges
+    CHECK(pool.apply(start + ms(1000), delta).empty());
+    CHECK(other.apply(start + ms(1000), delta).size() == 1);
+    CHECK(other.local_update(start + ms(1000)).targets.empty());  // no echo between edges
     CHECK(other.tick(start + ms(2999)).empty());
     CHECK(other.tick(start + ms(3000)).at(0).incarnation == 2);
     CHECK_FALSE(pool.pick(start + ms(3000), "crew", {"north"}));
@@ -231,6 +231,37 @@
     });
 }
 
+// Aggregators pass notices on, so that one edge can receive them by several ways and in another order.
+TEST_CASE("a late notice does not restore a withdrawn quarantine", "[quarantine]") {
+    quarantine edge;
+    wire::quarantine_notice_t decided;
+    decided.service = "crew";
+    decided.fingerprint = 7;
+    decided.targets = {"t1", "t2"};
+    decided.expires_in_ms = 1000;
+    decided.version = 1;
+    auto withdrawal = decided;
+    withdrawal.expires_in_ms = 0;
+    CHECK(edge.receive(start, decided).changed);
+    CHECK_FALSE(edge.receive(start, decided).changed);
+    CHECK(edge.quarantined(start, "crew", 7));
+    CHECK(edge.receive(start, withdrawal).changed);
+    CHECK_FALSE(edge.receive(start, decided).changed);
+    CHECK_FALSE(edge.receive(start, withdrawal).changed);
+    CHECK(edge.size(start) == 0);
+    decided.version = 2;
+    CHECK(edge.receive(start, decided).changed);
+    CHECK(edge.quarantined(start, "crew", 7));
+}
+
+// Renewals are collected before they are passed on, so that one may arrive after the loss of a request.
+TEST_CASE("an announcement made before a loss does not show that the target lives", "[quarantine]") {
+    quarantine edge;
+    edge.connection_lost(start, lost(7, 1));
+    edge.target_alive("crew", "t1", start - ms(1));
+    CHECK(edge.target_gone(start + ms(20), "crew", "t1").size() == 1);
+}
+
 TEST_CASE("a broken connection or one target's death quarantines nothing", "[quarantine]") {
     quarantine edge;
     edge.connection_lost(start, lost(7, 1));
--- a/tools/capacity/parts.h
+++ b/tools/capacity/parts.h
@@ -15,6 +15,7 @@
 std::vector<table> measure_all_blocks(const std::vector<std::size_t>& sizes);     // memory, build, lookups, changes
 std::vector<table> measure_all_leases();                                          // a ping at the edge and the leader
 std::vector<table> measure_all_edge_lists();                                      // a pong with the list of edges
+std::vector<table> measure_all_target_updates();                                  // between edges
 std::vector<table> measure_configuration(const std::vector<std::size_t>& sizes);  // size of a change
 std::vector<table> compare();         // leases, static shares and shared counters in simulated time
 std::vector<table> compare_shifts();  // a failed region with and without planned link bytes, in simulated time
--- a/tools/persimmon-capacity.cpp
+++ b/tools/persimmon-capacity.cpp
@@ -44,6 +44,7 @@
     append("blocks", [&] { return measure_all_blocks(sizes); });
     append("leases", [] { return measure_all_leases(); });
     append("edges", [] { return measure_all_edge_lists(); });
+    append("updates", [] { return measure_all_target_updates(); });
     append("configuration", [&] { return measure_configuration(sizes); });
     if (result.empty()) {
         throw usage_error("--part: \"" + part + "\" is unknown");
@@ -72,7 +73,7 @@
                                .usage = "persimmon-capacity: measures how cost grows with size"};
     auto add = program.options.add_options();
     add("part", po::value<std::string>()->default_value("all"),
-        "all, compare, shifts, blocks, leases, edges or configuration");
+        "all, compare, shifts, blocks, leases, edges, updates or configuration");
     add("sizes", po::value<std::string>()->default_value("10000,100000,500000,1900000"), "numbers of client blocks");
     add("output", po::value<std::string>()->default_value("text"), "text or json");
     program.prepare = [](const auto& values) {
