Measure control processes by a committed program

Cause: submissions per second and the time without a leader were trials with an uncommitted client, and the catch-up of a restarted control process was not measured.

Output as text and JSON.

--- a/tools/persimmon-load.cpp
+++ b/tools/persimmon-load.cpp
@@ -1,11 +1,16 @@
-// persimmon-load: open-loop load on the entry hosts, with a report and a check against the targets' journals; and
-// `persimmon-load bench`, which measures requests per second and latency of single paths.
+// persimmon-load: open-loop load on the entry hosts, with a report and a check against the targets' journals;
+// `persimmon-load bench`, which measures requests per second and latency of single paths; and `persimmon-load control`,
+// which measures the control processes.
+
+#include <signal.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 
 #include "persimmongrade/command_line.h"
+#include "persimmongrade/control_bench.h"
 #include "persimmongrade/http_bench.h"
 #include "persimmongrade/load_generator.h"
 #include "persimmongrade/load_report.h"
@@ -24,7 +29,8 @@
     add("stream", options::value<std::vector<std::string>>(),
         "service:rate:lookup|booking[:request_bytes:answer_bytes]; repeatable");
     add("client", options::value<std::vector<std::string>>(), "caller address given to lookups; repeatable");
-    add("duration-s", options::value<std::uint32_t>()->default_value(10), "length of the run in seconds");
+    add("duration-s", options::value<std::uint32_t>()->default_value(10),
+        "length of the run, or of one measurement, in seconds");
     add("deadline-ms", options::value<std::uint32_t>()->default_value(2000), "deadline of each request");
     add("retries", options::value<std::uint32_t>()->default_value(2), "resends through other edges");
     add("resend-share", options::value<double>()->default_value(0), "share of bookings sent twice, 0 to 1");
@@ -37,8 +43,17 @@
     add("case", options::value<std::vector<std::string>>(), "bench: name=IP:port/path; repeatable");
     add("connections", options::value<std::uint32_t>()->default_value(1), "bench: connections of each case");
     add("rate", options::value<double>()->default_value(0), "bench: requests per second; 0: keep connections busy");
-    add("rounds", options::value<std::uint32_t>()->default_value(1), "bench: each runs every case for duration-s");
+    add("rounds", options::value<std::uint32_t>()->default_value(1),
+        "bench: each runs every case for duration-s; control: ends of the leader of each kind");
     add("header", options::value<std::vector<std::string>>(), "bench: 'name: value' of each request; repeatable");
+    add("pid-file", options::value<std::vector<std::string>>(),
+        "control: file with the process id of each --control, in their order; for ends of processes. While FILE.hold, "
+        "with this suffix in place of the file's own, exists, an ended process must not be started again");
+    add("missed", options::value<std::vector<std::uint32_t>>(),
+        "control: changes that a stopped process misses; repeatable; needs --pid-file");
+    add("clients", options::value<std::vector<std::uint32_t>>(),
+        "control: clients that submit at the same time; repeatable; default: 1, 8 and 32");
+    add("sync-directory", options::value<std::string>(), "control: also measure a sync in this directory");
     add("reference", options::value<std::string>()->default_value(""), "bench: case of the ratios; default: the last");
 }
 
@@ -102,6 +117,41 @@
     return result;
 }
 
+struct control_run {
+    control_bench_options bench;
+    std::vector<std::string> pid_files;  // empty: no process is ended
+    std::vector<std::uint32_t> clients = {1, 8, 32};
+    std::vector<std::uint32_t> missed;
+    std::string sync_directory;  // empty: not measured
+};
+
+control_run read_control_options(const options::variables_map& values) {
+    control_run result;
+    result.bench.control = parse_addresses(values, "control");
+    result.bench.length = ms(values["duration-s"].as<std::uint32_t>() * std::int64_t{1000});
+    result.bench.outage_rounds = values["rounds"].as<std::uint32_t>();
+    if (values.contains("pid-file")) {
+        result.pid_files = values["pid-file"].as<std::vector<std::string>>();
+    }
+    if (values.contains("clients")) {
+        result.clients = values["clients"].as<std::vector<std::uint32_t>>();
+    }
+    if (values.contains("missed")) {
+        result.missed = values["missed"].as<std::vector<std::uint32_t>>();
+    }
+    if (values.contains("sync-directory")) {
+        result.sync_directory = values["sync-directory"].as<std::string>();
+    }
+    bool each_has_file = result.pid_files.empty() || result.pid_files.size() == result.bench.control.size();
+    bool no_clients = std::find(result.clients.begin(), result.clients.end(), 0U) != result.clients.end();
+    if (result.bench.control.empty() || !each_has_file || (result.pid_files.empty() && !result.missed.empty()) ||
+        no_clients) {
+        throw usage_error("control needs --control, one --pid-file for each or none, --pid-file for --missed, and "
+                          "--clients above 0");
+    }
+    return result;
+}
+
 bool wants_json(const options::variables_map& values) {
     std::string output = values["output"].as<std::string>();
     if (output != "text" && output != "json") {
@@ -119,6 +169,80 @@
     return clean ? exit_success : exit_failure;
 }
 
+// Ends processes by their ids and lets the supervisor that wrote the files start them again.
+class supervised_processes {
+public:
+    explicit supervised_processes(std::vector<std::string> files) : files(std::move(files)) {}
+
+    void signal(std::size_t process, int number) {
+        this->ended = this->read_id(process);
+        std::ofstream(this->hold_file(process)) << "\n";
+        if (::kill(this->ended, number) != 0) {
+            throw control_bench_error(this->files.at(process) + ": there is no process " + std::to_string(this->ended));
+        }
+    }
+
+    // Whether the process that was ended last still runs.
+    bool running() const { return ::kill(this->ended, 0) == 0; }
+
+    // Returns when the file names another process.
+    void start(event_loop& loop, std::size_t process) const {
+        std::filesystem::remove(this->hold_file(process));
+        time_point until = loop.now() + start_limit;
+        while (this->read_id(process) == this->ended) {
+            if (loop.now() >= until) {
+                throw control_bench_error(this->files.at(process) + ": the process was not started again");
+            }
+            loop.run_for(ms(1));
+        }
+    }
+
+private:
+    static constexpr duration start_limit = ms(20000);
+
+    std::string hold_file(std::size_t process) const {
+        return std::filesystem::path(this->files.at(process)).replace_extension(".hold").string();
+    }
+
+    pid_t read_id(std::size_t process) const {
+        pid_t id = 0;
+        if (!(std::ifstream(this->files.at(process)) >> id) || id <= 0) {
+            throw control_bench_error(this->files.at(process) + ": holds no process id");
+        }
+        return id;
+    }
+
+    std::vector<std::string> files;
+    pid_t ended = 0;
+};
+
+int measure_control(const control_run& given, bool json) {
+    event_loop loop;
+    supervised_processes processes(given.pid_files);
+    control_bench measured(loop, given.bench,
+                           {.signal = [&](std::size_t process, int number) { processes.signal(process, number); },
+                            .running = [&](std::size_t) { return processes.running(); },
+                            .start = [&](std::size_t process) { processes.start(loop, process); }});
+    control_figures figures;
+    if (!given.sync_directory.empty()) {
+        figures.sync_ms = measure_sync(given.sync_directory);
+    }
+    for (std::uint32_t clients : given.clients) {
+        figures.submissions.push_back(measured.measure_submissions(clients));
+    }
+    figures.edges = measured.count_edges();
+    figures.in_force_ms = measured.measure_in_force();
+    if (!given.pid_files.empty() && given.bench.outage_rounds > 0) {
+        figures.outages.push_back(measured.measure_outages(outage_cause::planned_stop));
+        figures.outages.push_back(measured.measure_outages(outage_cause::kill));
+    }
+    for (std::uint32_t changes : given.missed) {
+        figures.catch_ups.push_back(measured.measure_catch_up(changes));
+    }
+    std::cout << (json ? render_json(figures) : render_text(figures));
+    return exit_success;
+}
+
 int run(const options::variables_map& values, const load_options& given, bool json) {
     event_loop loop;
     load_generator generator(loop, given);
@@ -142,6 +266,7 @@
     program_definition program{.name = "persimmon-load",
                                .usage = "persimmon-load: open-loop load on the entry hosts\n"
                                         "persimmon-load bench: requests per second and latency of single paths\n"
+                                        "persimmon-load control: submissions, outages and catch-up of control\n"
                                         "Exit codes: 0 no violation, 1 a violation or a failure, 2 bad usage",
                                .takes_words = true};
     describe(program.options);
@@ -150,6 +275,9 @@
         if (words(values) == std::vector<std::string>{"bench"}) {
             return [given = read_bench_options(values), json] { return bench(given, json); };
         }
+        if (words(values) == std::vector<std::string>{"control"}) {
+            return [given = read_control_options(values), json] { return measure_control(given, json); };
+        }
         if (!words(values).empty()) {
             throw usage_error("unknown command '" + words(values).front() + "'");
         }
