--- a/include/persimmongrade/log_storage.h
+++ b/include/persimmongrade/log_storage.h
@@ -9,8 +9,8 @@
 //   - with `bootstrap` (first start of a new cluster only): id = name, members = the bootstrap set;
 //   - without: id = name + "." + 16 hex digits of identity_seed, no members. The process has no vote until the leader
 //     has added it (consensus::change_voters) and it has caught up.
-// So a process whose disk was lost never votes under its old identity. The daemon sets `bootstrap` for an empty directory
-// only after the other control processes have confirmed it (bootstrap.h).
+// So a process whose disk was lost never votes under its old identity. The daemon sets `bootstrap` for an empty
+// directory only after the other control processes have confirmed it (bootstrap.h).
 //
 // Failures. After a failed write or sync the object refuses all further writes with storage_failed: the kernel may
 // have dropped the dirty pages, so a later successful sync would prove nothing. Restart the process.
--- a/tests/request/test_update_relay.cpp
+++ b/tests/request/test_update_relay.cpp
@@ -197,7 +197,7 @@
     run.run(ms(3500), true);
     run.check_sent(edges - 1);  // each other listed edge gets each update once
 
-    // A quarantine and its withdrawal; notices of both go to every edge, and none circulates.
+    // A quarantine: its notice goes to every edge once, and none circulates.
     node& decider = *run.nodes[run.announced_to[0]];
     for (const std::string target : {"a", "b"}) {
         decider.crashes.connection_lost(run.now, {"crew", 7, target, "r0"});
