Renew leases of slots over a change of leader

Cause: after each change of leader all edges had only their floors of slots for about 1 s. The first pong of the new leader replaced the unexpired leases of the old one by nothing, and the new leader granted nothing until those leases had expired and every edge had reported its use afterwards.

Change: a complete ping states the lease of each slot resource that the edge holds, the new leader renews it, and the edge uses at most what it still holds when the pong arrives. When all edges have reported after such a pong, the leader knows all holdings and grants as usual. Leases of rates stay until they expire.

--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -126,7 +126,8 @@
     // Tells of a newly applied revision, on every control process. `skipped` is true when revisions in between are
     // unknown (a snapshot was installed); the first call counts as skipped.
     void apply(const wire::configuration_t& configuration, time_point now, bool skipped = false);
-    // Starts a term. Until the longest lease of an earlier leader has certainly expired, only floors are in use.
+    // Starts a term. Leases of an earlier leader stay valid: rates until they expire, slots and connections renewed by
+    // this leader at the amount that each edge reports. Nothing beyond them is granted before all of them are known.
     void become_leader(std::uint64_t term, time_point now);
     void step_down() noexcept;
     bool leading() const noexcept { return this->is_leader; }
@@ -137,7 +138,7 @@
     wire::edge_pong_t answer(const wire::edge_ping_t& ping, time_point now);
 
     std::uint64_t revision() const noexcept;
-    time_point grants_start_at() const noexcept { return this->no_grants_until; }  // nothing above the floors before
+    time_point grants_start_at() const noexcept { return this->no_grants_until; }  // no new grants of rates before
     double counted(const resource& subject, time_point now);                       // floors and leases, all edges
     std::vector<resource_use> rate_uses(time_point now);                           // every limited region and link
 
@@ -154,6 +155,7 @@
         double used = 0;                      // concurrency in use, floors included, as last reported
         std::uint64_t reported_sequence = 0;  // of the ping that reported wanted and used
         double sent_amount = 0;               // granted in the pong to that ping
+        double held = 0;                      // concurrency only: lease in the last complete ping
         bool floor_lent = false;              // rates only, as last reported
         time_point floor_lent_until{};        // rates only; the edge certainly does not use its floor before
     };
@@ -175,6 +177,7 @@
     struct sent_pong {
         std::uint64_t sequence = 0;
         time_point sent_at{};
+        bool complete = false;  // carried all grants of the edge
     };
     struct edge_entry {
         std::uint64_t incarnation = 0;
@@ -183,7 +186,7 @@
         std::uint64_t acknowledged_revision = 0;
         time_point last_ping_at{};
         bool heard = false;            // in this term
-        bool use_known = false;        // it reported its use after every lease of earlier leaders had expired
+        bool use_known = false;        // it reported its use after this leader's grants had replaced all earlier ones
         std::vector<sent_pong> pongs;  // the newest few
     };
     struct past_limits {  // limits of revisions that an edge may still use
@@ -194,7 +197,7 @@
     std::size_t index_of(std::string_view edge) const;
     bool note_ping(std::size_t index, const wire::edge_ping_t& ping, time_point now);
     void orphan_grants(std::size_t edge, time_point now);
-    std::optional<time_point> answer_seen(const edge_entry& edge, const wire::edge_ping_t& ping) const;
+    std::optional<sent_pong> answer_seen(const edge_entry& edge, const wire::edge_ping_t& ping) const;
     void note_demand(std::size_t edge, const resource& subject, const wire::rate_demand& demand,
                      const wire::edge_ping_t& ping);
     void note_demands(std::size_t edge, const wire::edge_ping_t& ping);
--- a/src/limits/lease_granter.cpp
+++ b/src/limits/lease_granter.cpp
@@ -178,18 +178,20 @@
         }
         entry.used = 0;
         entry.wanted = 0;
+        entry.held = 0;
         entry.reported_sequence = 0;
     }
 }
 
-// When this leader sent the newest answer that the edge had applied before it sent this ping.
-std::optional<time_point> lease_granter::answer_seen(const edge_entry& edge, const wire::edge_ping_t& ping) const {
+// The newest answer of this leader that the edge had applied before it sent this ping.
+std::optional<lease_granter::sent_pong> lease_granter::answer_seen(const edge_entry& edge,
+                                                                   const wire::edge_ping_t& ping) const {
     if (ping.answered_term != this->term) {
         return std::nullopt;
     }
     for (const auto& pong : edge.pongs) {
         if (pong.sequence == ping.answered_sequence) {
-            return pong.sent_at;
+            return pong;
         }
     }
     return std::nullopt;
@@ -199,14 +201,14 @@
 // flight because of them is in the use that the same ping reports.
 void lease_granter::drop_replaced_grants(std::size_t edge, const wire::edge_ping_t& ping) {
     edge_entry& entry = this->edges[edge];
-    std::optional<time_point> seen = this->answer_seen(entry, ping);
+    std::optional<sent_pong> seen = this->answer_seen(entry, ping);
     if (!seen) {
         return;
     }
-    entry.use_known = entry.use_known || *seen >= this->no_grants_until;
+    entry.use_known = entry.use_known || seen->complete || seen->sent_at >= this->no_grants_until;
     for (auto& [subject, shares] : this->books) {
         std::erase_if(shares.accounts[edge].grants, [&](const grant& old) {
-            return !old.orphaned && (old.sequence < ping.answered_sequence || old.counted_until <= *seen);
+            return !old.orphaned && (old.sequence < ping.answered_sequence || old.counted_until <= seen->sent_at);
         });
     }
 }
@@ -231,10 +233,15 @@
         bool unchanged = ping.base_sequence > 0 && entry.reported_sequence == ping.base_sequence;
         entry.reported_sequence = unchanged ? ping.sequence : 0;
         entry.sent_amount = ping.base_sequence > 0 ? entry.sent_amount : 0;
+        entry.held = ping.base_sequence > 0 ? entry.held : 0;
     }
     for (const auto& demand : ping.demands) {
-        this->note_demand(edge, {demand->resource->kind, demand->resource->subject},
+        resource subject{demand->resource->kind, demand->resource->subject};
+        this->note_demand(edge, subject,
                           {0, false, static_cast<float>(demand->wanted), static_cast<float>(demand->used)}, ping);
+        if (ping.base_sequence == 0 && this->books.contains(subject)) {
+            this->books[subject].accounts[edge].held = demand->held;
+        }
     }
     bool same_places = ping.applied_revision == this->current.revision();
     for (const auto& demand : ping.rates) {
@@ -243,12 +250,13 @@
         }
     }
     this->edges[edge].known_sequence = same_places ? ping.sequence : 0;
-    std::optional<time_point> seen = this->answer_seen(this->edges[edge], ping);
+    std::optional<sent_pong> seen = this->answer_seen(this->edges[edge], ping);
     for (auto& [subject, shares] : this->books) {
         account& entry = shares.accounts[edge];
         if (seen && entry.floor_lent && entry.reported_sequence == ping.sequence) {
             // The edge sent the ping after it received that answer.
-            entry.floor_lent_until = std::max(entry.floor_lent_until, holder_expiry(*seen, this->options.floor_loan));
+            entry.floor_lent_until =
+                std::max(entry.floor_lent_until, holder_expiry(seen->sent_at, this->options.floor_loan));
         }
     }
 }
@@ -263,6 +271,8 @@
     pong.committed_revision = this->current.revision();
     pong.lease_ms = static_cast<std::uint32_t>(this->options.lease.count());
     this->forget_past(now);
+    pong.rates_kept = now < this->no_grants_until;
+    pong.concurrency_capped = !this->concurrency_known(now);
     if (!this->is_leader || !this->note_ping(index, ping, now)) {
         return pong;
     }
@@ -272,6 +282,7 @@
     }
     this->drop_replaced_grants(index, ping);
     this->note_demands(index, ping);
+    pong.concurrency_capped = !this->concurrency_known(now);
     edge.pongs.push_back({ping.sequence, now});
     if (edge.pongs.size() > remembered_pongs) {
         edge.pongs.erase(edge.pongs.begin());
@@ -282,6 +293,7 @@
     pong.config_lease_ms = static_cast<std::uint32_t>(this->options.configuration_lease.count());
     pong.demands_known = true;
     pong.base_sequence = ping.base_sequence;
+    edge.pongs.back().complete = true;
     this->grant_all(index, ping, pong, now);
     return pong;
 }
@@ -480,11 +492,14 @@
 
 double lease_granter::grant_amount(const resource& subject, share_book& shares, std::size_t edge, time_point now) {
     double limit = this->current.limit(subject);
-    if (limit == unlimited || now < this->no_grants_until) {
+    if (limit == unlimited || (is_rate(subject) && now < this->no_grants_until)) {
         return 0;
     }
     if (!is_rate(subject) && !this->concurrency_known(now)) {
-        return 0;
+        // All leases of earlier leaders were granted before this term and fit the limit together with the floors and
+        // with all use, and the edges only renew what they still hold of them. Leases of rates are not renewed, because
+        // some of them depend on lent floors.
+        return std::min(shares.accounts[edge].held, limit);
     }
     this->refresh_floors(subject, shares);
     duration hold = is_rate(subject) ? ms(0) : this->options.concurrency_hold;
@@ -498,7 +513,8 @@
     return is_rate(subject) ? amount : std::floor(amount + unit_tolerance);
 }
 
-// Slots taken under an earlier leader are known once every edge has reported its use after all those leases expired.
+// Slots taken under an earlier leader are known once every edge has reported its use after grants of this leader had
+// replaced all those leases.
 bool lease_granter::concurrency_known(time_point now) const {
     if (now >= this->no_grants_until + this->options.concurrency_hold) {
         return true;
--- a/src/limits/lease_holder.cpp
+++ b/src/limits/lease_holder.cpp
@@ -214,6 +214,9 @@
     listed->resource->subject = subject.subject;
     listed->wanted = entry.wanted;
     listed->used = entry.reported_use;
+    // A lease of an older revision may exceed what fits the limits of this one.
+    bool renewable = ping.base_sequence == 0 && entry.granted.revision == this->limits.revision();
+    listed->held = renewable ? lease_amount(entry, now) : 0;
 }
 
 void lease_holder::receive(const wire::edge_pong_t& pong, time_point now) {
@@ -261,6 +264,13 @@
             amount = grant->second;
         }
         entry.base_amount = amount;
+        bool kept = is_rate(subject) ? pong.rates_kept : pong.concurrency_capped && !pong.demands_known;
+        if (kept && amount == 0) {
+            continue;  // a lease of an earlier leader is valid until it expires
+        }
+        if (!is_rate(subject) && pong.concurrency_capped) {
+            amount = std::min(amount, lease_amount(entry, now));
+        }
         bool usable = amount > 0 && pong.committed_revision >= entry.lowered_at_revision;
         entry.granted = usable ? lease{amount, pong.committed_revision, holder_expiry(sent_at, length)} : lease{};
         if (is_rate(subject)) {
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -547,6 +547,52 @@
     }
 }
 
+// Guards against refusals after a change of leader, although no edge needs more than it had. Failed before leases were
+// renewed: only the floors were usable for about 1 s.
+TEST_CASE("slots stay usable over a change of leader") {
+    const auto names = edge_names(3);
+    const auto configuration = make_configuration(1, 400, 64, 9);
+    std::vector<lease_granter> granters(2, lease_granter(names));
+    std::vector<lease_holder> holders;
+    for (lease_granter& granter : granters) {
+        granter.apply(configuration, time_point(ms(0)));
+    }
+    for (const std::string& name : names) {
+        holders.emplace_back(name, names).apply(configuration, time_point(ms(0)));
+    }
+    auto usable_at = [&](std::int64_t t) {
+        std::vector<double> usable;
+        for (const lease_holder& holder : holders) {
+            usable.push_back(holder.usable(slots, time_point(ms(t))));
+        }
+        return usable;
+    };
+    auto ask_all = [&](std::size_t leader, std::int64_t t) {
+        for (lease_holder& holder : holders) {
+            holder.anticipate(slots, 3, time_point(ms(t)));
+            wire::edge_ping_t ping;
+            holder.prepare(ping, time_point(ms(t)));
+            holder.receive(granters[leader].answer(ping, time_point(ms(t))), time_point(ms(t)));
+        }
+    };
+    granters[0].become_leader(1, time_point(ms(0)));
+    for (std::int64_t t = 0; t <= 10000; t += 250) {
+        ask_all(0, t);
+    }
+    std::vector<double> before = usable_at(10000);
+    REQUIRE(std::accumulate(before.begin(), before.end(), 0.0) >= 8);
+    granters[1].become_leader(2, time_point(ms(10500)));  // an election of 500 ms
+    for (std::int64_t t = 10500; t <= 14000; t += 250) {
+        ask_all(1, t);
+        std::vector<double> now = usable_at(t + 249);
+        INFO("at " << t << " ms");
+        REQUIRE(std::accumulate(now.begin(), now.end(), 0.0) <= 9);
+        for (std::size_t i = 0; i < now.size(); ++i) {
+            REQUIRE(now[i] >= std::min(before[i], 3.0));
+        }
+    }
+}
+
 // Guards against refusals of the first requests on an edge that has no floor slot and no lease yet.
 TEST_CASE("an edge can lease a slot before its first request") {
     const auto names = edge_names(7);
