--- a/include/persimmongrade/control_server.h
+++ b/include/persimmongrade/control_server.h
@@ -26,7 +26,7 @@
 class control_server {
 public:
     // Throws socket_error when an address cannot be bound, and storage_error types when the data cannot be used.
-    control_server(event_loop& loop, wire::control_settings_t settings, control_options options);
+    control_server(event_loop& loop, wire::control_settings_t settings, const control_options& options);
     ~control_server();
     control_server(const control_server&) = delete;
     control_server& operator=(const control_server&) = delete;
--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -60,7 +60,7 @@
             wire::bootstrap_reply_t reply;
             reply.token = request->token;
             reply.confirmed = this->registry.confirm(envelope.from, request->token);
-            this->peers.send(envelope.from, std::move(reply));
+            this->peers.send(envelope.from, reply);
             return;
         }
         const auto* reply = envelope.body.Asbootstrap_reply();
@@ -84,7 +84,7 @@
         for (const std::string& id : this->missing) {
             wire::bootstrap_request_t request;
             request.token = this->token;
-            this->peers.send(id, std::move(request));
+            this->peers.send(id, request);
         }
     }
 
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -145,7 +145,7 @@
     });
 }
 
-control_server::control_server(event_loop& loop, wire::control_settings_t settings, control_options options)
+control_server::control_server(event_loop& loop, wire::control_settings_t settings, const control_options& options)
     : state(std::make_unique<impl>(loop, std::move(settings), options)) {}
 
 control_server::~control_server() = default;
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -18,7 +18,7 @@
     wire::bootstrap_reply_t reply;
     reply.token = token;
     reply.confirmed = this->bootstraps.confirm(from, token);
-    if (!this->peers.send(from, std::move(reply))) {
+    if (!this->peers.send(from, reply)) {
         this->peers.add_peer(from, ip_address::parse((*known)->address));  // answers the next request
     }
 }
