Let one piece of code serve what stood two to four times

Cause: a read of the whole change found twins.

Change, behaviour unchanged: - update_relay sends a notice to its destinations in one place; report() loses an argument that it did not use. - bootstrap_registry makes the reply that the bootstrap check and the control server each put together. - the quantile of nearest rank was written in http_bench, load_report and control_bench; src/load/quantile.h has it now. - tests: one function each for the small record and the request of a control process, for the holders of the lease tests, for a step with faults of the shift tests (same order of random draws), and one counting target. No assertion, bound or expected value of a test is changed. Requests of three tests of control processes now accept answers up to 16 MiB instead of 1 MiB, as the others did.

Ruled out: one set of shell functions for the measurement scripts, because their addresses, regions and settings differ and little but the form is common.

--- a/include/persimmongrade/bootstrap.h
+++ b/include/persimmongrade/bootstrap.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 
+#include "messages_generated.h"
 #include "persimmongrade/error.h"
 #include "persimmongrade/event_loop.h"
 #include "settings_generated.h"
@@ -33,7 +34,7 @@
     bootstrap_registry() = default;              // of a process that holds data: confirms nothing
     static bootstrap_registry of_first_start();  // of a process whose directory was empty when it started
 
-    bool confirm(const std::string& id, std::uint64_t token);
+    wire::bootstrap_reply_t answer(const std::string& id, const wire::bootstrap_request_t& request);
 
 private:
     bool first_start = false;
--- a/include/persimmongrade/update_relay.h
+++ b/include/persimmongrade/update_relay.h
@@ -4,7 +4,7 @@
 //     relay.set_edges(now, list.entries());         // whenever the edge list changed
 //     relay.announce(now, info);                    // POST /v1/targets
 //     relay.receive(now, from, update or notice);   // from another edge
-//     relay.report(now, notices);                   // decided by this edge's quarantine
+//     relay.report(notices);                        // decided by this edge's quarantine
 //     relay.tick(now);                              // at next_tick()
 //     for (auto& message : messages) if (!send(message)) relay.not_sent(now, message.to);
 //
@@ -85,7 +85,7 @@
     relay_messages announce(time_point now, const wire::target_info_t& info);
     relay_messages receive(time_point now, const std::string& from, const wire::target_update_t& update);
     relay_messages receive(time_point now, const std::string& from, const wire::quarantine_notice_t& notice);
-    relay_messages report(time_point now, const std::vector<wire::quarantine_notice_t>& notices) const;
+    relay_messages report(const std::vector<wire::quarantine_notice_t>& notices) const;
     relay_messages tick(time_point now);
     std::optional<time_point> next_tick() const;  // none: nothing waits
 
@@ -106,6 +106,7 @@
     bool may_pass(const std::string& from, const std::string& to) const;
     std::map<std::string, destination> find_destinations(const edge_entries& edges) const;
     void collect(time_point now, const std::string& from, const target_change& change);
+    void send_notice(const wire::quarantine_notice_t& notice, const std::string& from, relay_messages& messages) const;
     void note_state_due(time_point due);
     void append_state(time_point now, const std::string& to, relay_messages& messages) const;
     relay_messages flush_when_due(time_point now);
--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -57,10 +57,7 @@
 
     void receive(const wire::envelope_t& envelope) {
         if (const auto* request = envelope.body.Asbootstrap_request()) {
-            wire::bootstrap_reply_t reply;
-            reply.token = request->token;
-            reply.confirmed = this->registry.confirm(envelope.from, request->token);
-            this->peers.send(envelope.from, reply);
+            this->peers.send(envelope.from, this->registry.answer(envelope.from, *request));
             return;
         }
         const auto* reply = envelope.body.Asbootstrap_reply();
@@ -119,8 +116,11 @@
     return registry;
 }
 
-bool bootstrap_registry::confirm(const std::string& id, std::uint64_t token) {
-    return this->first_start && this->tokens.emplace(id, token).first->second == token;
+wire::bootstrap_reply_t bootstrap_registry::answer(const std::string& id, const wire::bootstrap_request_t& request) {
+    wire::bootstrap_reply_t reply;
+    reply.token = request.token;
+    reply.confirmed = this->first_start && this->tokens.emplace(id, request.token).first->second == request.token;
+    return reply;
 }
 
 bool awaits_bootstrap(const wire::control_settings_t& settings) {
--- a/src/control/edge_sessions.cpp
+++ b/src/control/edge_sessions.cpp
@@ -82,7 +82,7 @@
         this->send_all(this->distributor.on_ack(now, *ack));
         this->follow_publication(now);
     } else if (const auto* request = envelope.body.Asbootstrap_request()) {
-        this->answer_bootstrap(envelope.from, request->token);
+        this->answer_bootstrap(envelope.from, *request);
     } else {
         this->log.receive(now, envelope.from, envelope.body);
     }
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -9,16 +9,13 @@
 namespace persimmongrade {
 
 // The sender may be no member any more, so it is connected by the settings.
-void control_server::impl::answer_bootstrap(const std::string& from, std::uint64_t token) {
+void control_server::impl::answer_bootstrap(const std::string& from, const wire::bootstrap_request_t& request) {
     auto known = std::find_if(this->settings.control.begin(), this->settings.control.end(),
                               [&](const auto& peer) { return peer->id == from; });
     if (known == this->settings.control.end()) {
         return;
     }
-    wire::bootstrap_reply_t reply;
-    reply.token = token;
-    reply.confirmed = this->bootstraps.confirm(from, token);
-    if (!this->peers.send(from, reply)) {
+    if (!this->peers.send(from, this->bootstraps.answer(from, request))) {
         this->peers.add_peer(from, ip_address::parse((*known)->address));  // answers the next request
     }
 }
--- a/src/control/server_state.h
+++ b/src/control/server_state.h
@@ -107,7 +107,7 @@
     void stop();
 
     // ---- Members of the log (membership.cpp) ----
-    void answer_bootstrap(const std::string& from, std::uint64_t token);
+    void answer_bootstrap(const std::string& from, const wire::bootstrap_request_t& request);
     const wire::peer_settings_t* control_at(const std::string& peer_address) const;
     const wire::voter_t* member(const std::string& id) const;
     std::string name_of(const std::string& id) const;
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -99,9 +99,7 @@
                    this->handle(std::move(request), exchange);
                }),
           relay(this->relay_settings(), this->edge.targets, this->edge.crashes) {
-        this->edge.send_notices = [this](const auto& notices) {
-            this->distribute(this->relay.report(this->loop.now(), notices));
-        };
+        this->edge.send_notices = [this](const auto& notices) { this->distribute(this->relay.report(notices)); };
         this->edge.report_demand = [this] { this->ping_early(); };
         this->peers.set_incarnation(this->incarnation);
         this->connect(this->settings.control);
--- a/src/load/control_bench.cpp
+++ b/src/load/control_bench.cpp
@@ -9,7 +9,6 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
-#include <cmath>
 #include <csignal>
 #include <cstring>
 #include <iomanip>
@@ -18,6 +17,7 @@
 #include <sstream>
 
 #include "persimmongrade/http_client.h"
+#include "quantile.h"
 
 namespace persimmongrade {
 
@@ -71,11 +71,10 @@
         return summary;
     }
     std::sort(times_ms.begin(), times_ms.end());
-    auto rank = static_cast<std::size_t>(std::ceil(0.99 * static_cast<double>(times_ms.size())));
     std::size_t middle = times_ms.size() / 2;
     bool odd = times_ms.size() % 2 == 1;
     summary.median = odd ? times_ms[middle] : (times_ms[middle - 1] + times_ms[middle]) / 2;
-    summary.p99 = times_ms[rank - 1];
+    summary.p99 = quantile(times_ms, 0.99);
     summary.max = times_ms.back();
     return summary;
 }
--- a/src/load/http_bench.cpp
+++ b/src/load/http_bench.cpp
@@ -15,7 +15,6 @@
 #include <cerrno>
 #include <charconv>
 #include <chrono>
-#include <cmath>
 #include <cstring>
 #include <deque>
 #include <iomanip>
@@ -24,6 +23,7 @@
 #include <sstream>
 
 #include "persimmongrade/error.h"
+#include "quantile.h"
 
 namespace persimmongrade {
 
@@ -241,14 +241,6 @@
 
 // ---- Rounds ----
 
-double quantile(const std::vector<double>& sorted, double share) {
-    if (sorted.empty()) {
-        return 0;
-    }
-    auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
-    return sorted[std::max<std::size_t>(rank, 1) - 1];
-}
-
 struct bench_samples {
     std::vector<double> latencies_us;
     std::vector<double> rates;  // of each round
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -1,9 +1,9 @@
 // Contents: summary; text; JSON; HTML with inline SVG plots.
 
 #include "persimmongrade/load_report.h"
+#include "quantile.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -19,12 +19,8 @@
         return summary;
     }
     std::sort(values.begin(), values.end());
-    auto quantile = [&](double share) {
-        auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
-        return values[std::max<std::size_t>(rank, 1) - 1];
-    };
-    summary.p50_ms = quantile(0.50);
-    summary.p99_ms = quantile(0.99);
+    summary.p50_ms = quantile(values, 0.50);
+    summary.p99_ms = quantile(values, 0.99);
     summary.max_ms = values.back();
     return summary;
 }
--- a/src/request/update_relay.cpp
+++ b/src/request/update_relay.cpp
@@ -203,28 +203,30 @@
 
 // ---- Quarantine notices ----
 
-relay_messages update_relay::receive(time_point now, const std::string& from, const wire::quarantine_notice_t& notice) {
-    notice_outcome outcome = this->crashes.receive(now, notice);
-    relay_messages messages = this->report(now, outcome.decided);
-    if (!outcome.changed || !this->is_zone_aggregator()) {
-        return messages;
-    }
+// To all destinations but the one it came from; `from` is empty for a notice of this edge.
+void update_relay::send_notice(const wire::quarantine_notice_t& notice, const std::string& from,
+                               relay_messages& messages) const {
     for (const auto& [to, entry] : this->destinations) {
         if (this->may_pass(from, to)) {
             messages.push_back({to, {}});
             messages.back().message.Set(wire::quarantine_notice_t(notice));
         }
     }
+}
+
+relay_messages update_relay::receive(time_point now, const std::string& from, const wire::quarantine_notice_t& notice) {
+    notice_outcome outcome = this->crashes.receive(now, notice);
+    relay_messages messages = this->report(outcome.decided);
+    if (outcome.changed && this->is_zone_aggregator()) {
+        this->send_notice(notice, from, messages);
+    }
     return messages;
 }
 
-relay_messages update_relay::report(time_point /*now*/, const std::vector<wire::quarantine_notice_t>& notices) const {
+relay_messages update_relay::report(const std::vector<wire::quarantine_notice_t>& notices) const {
     relay_messages messages;
     for (const auto& notice : notices) {
-        for (const auto& [to, entry] : this->destinations) {
-            messages.push_back({to, {}});
-            messages.back().message.Set(wire::quarantine_notice_t(notice));
-        }
+        this->send_notice(notice, "", messages);
     }
     return messages;
 }
--- a/tests/control/test_processes.cpp
+++ b/tests/control/test_processes.cpp
@@ -27,6 +27,11 @@
     return child_process(program, arguments, "/dev/null").wait(exit_limit);
 }
 
+std::string small_record(const std::string& name, int version) {
+    return "schema_version: 1\nname: " + name + "\nversion: " + std::to_string(version) +
+           "\nregion_limits: {north: 900}\nservices: {}\n";
+}
+
 // Three control processes on one loopback address of this test process.
 struct cluster {
     static constexpr int size = 3;
@@ -122,17 +127,22 @@
         return false;
     }
 
-    // Status code 0 when there is no answer within the limit.
-    http_response call(int i, const std::string& method, const std::string& target, const std::string& id = "",
-                       const std::string& body = "", duration limit = ms(700)) {
+    http_call request(int i, const std::string& method, const std::string& target, const std::string& id = "",
+                      const std::string& body = "") const {
         http_call request{ip_address::parse(this->http(i)), method, target, {}, body, 16u << 20};
         request.reuse_connection = false;
         if (!id.empty()) {
             request.headers.push_back({"submission-id", id});
         }
+        return request;
+    }
+
+    // Status code 0 when there is no answer within the limit.
+    http_response call(int i, const std::string& method, const std::string& target, const std::string& id = "",
+                       const std::string& body = "", duration limit = ms(700)) {
         http_response response{0, {}, ""};
         bool done = false;
-        call_id number = this->client.send(std::move(request), [&](http_call_result result) {
+        call_id number = this->client.send(this->request(i, method, target, id, body), [&](http_call_result result) {
             done = true;
             if (result.status == http_call_status::ok) {
                 response = std::move(result.response);
@@ -163,9 +173,7 @@
     }
 
     json submit(const std::string& id, const std::string& record, int version) {
-        return this->ask("POST", "/v1/records", id,
-                         "schema_version: 1\nname: " + record + "\nversion: " + std::to_string(version) +
-                             "\nregion_limits: {north: 900}\nservices: {}\n");
+        return this->ask("POST", "/v1/records", id, small_record(record, version));
     }
 
     int leader() {
@@ -201,13 +209,7 @@
     void submit() {
         std::string id = this->prefix + std::to_string(this->sent++);
         int asked = this->target;
-        http_call request{ip_address::parse(this->c.http(asked)),
-                          "POST",
-                          "/v1/records",
-                          {{"submission-id", id}},
-                          "schema_version: 1\nname: " + id +
-                              "\nversion: 1\nregion_limits: {north: 900}\nservices: {}\n"};
-        request.reuse_connection = false;
+        http_call request = this->c.request(asked, "POST", "/v1/records", id, small_record(id, 1));
         ++this->open;
         auto done = std::make_shared<bool>(false);
         call_id number =
@@ -494,12 +496,7 @@
     REQUIRE(c.leader() != old_leader);
     json answers;
     auto ask_stopped = [&](const std::string& name, const std::string& method, const std::string& path) {
-        http_call request{ip_address::parse(c.http(old_leader)),
-                          method,
-                          path,
-                          {{"submission-id", "late"}},
-                          "schema_version: 1\nname: late\nversion: 1\nregion_limits: {north: 900}\nservices: {}\n"};
-        request.reuse_connection = false;
+        http_call request = c.request(old_leader, method, path, "late", small_record("late", 1));
         c.client.send(std::move(request), [&answers, name](const http_call_result& result) {
             answers[name] = result.status == http_call_status::ok ? result.response.status : 0;
         });
@@ -527,9 +524,7 @@
     stream.run_until_accepted(100);  // through another leader
     REQUIRE(c.process(full).running());
     CHECK(c.leader() != full);
-    http_response refusal = c.call(full, "POST", "/v1/records", "refused",
-                                   "schema_version: 1\nname: refused\n"
-                                   "version: 1\nregion_limits: {north: 900}\nservices: {}\n");
+    http_response refusal = c.call(full, "POST", "/v1/records", "refused", small_record("refused", 1));
     CHECK(refusal.status == 503);
     CHECK(json::parse(refusal.body)["error"] == "storage_failed");
     CHECK(json::parse(refusal.body)["outcome"] == "not_run");
@@ -601,12 +596,7 @@
     json term = c.ask("GET", "/v1/status")["term"];
     int accepted = 0;
     for (int i = 0; i < records; ++i) {
-        http_call request{ip_address::parse(c.http(leader)),
-                          "POST",
-                          "/v1/records",
-                          {{"submission-id", std::to_string(i)}},
-                          large_record(i, 9900)};
-        request.reuse_connection = false;
+        http_call request = c.request(leader, "POST", "/v1/records", std::to_string(i), large_record(i, 9900));
         c.client.send(std::move(request), [&](const http_call_result& result) {
             accepted += result.status == http_call_status::ok && result.response.status == 200 ? 1 : 0;
             if (accepted == records) {
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -35,6 +35,19 @@
     return settings;
 }
 
+// A fake target that counts what it executes and answers with the count, or with `answer` when it is given.
+struct counting_target {
+    ip_address address = test_address(next_port());
+    std::uint32_t executed = 0;
+    http_server server;
+
+    explicit counting_target(event_loop& loop, const std::string& answer = "")
+        : server(loop, address, {}, [this, answer](const http_request&, const auto& exchange) {
+              ++this->executed;
+              exchange->respond({200, {}, answer.empty() ? "booking " + std::to_string(this->executed) : answer});
+          }) {}
+};
+
 // Answers every ping as the leader, unless silent, and pushes its configuration to edges that are behind.
 struct fake_control {
     event_loop& loop;
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -26,22 +26,6 @@
     CHECK(std::stoi(std::string(seen.header("persimmon-deadline-ms").value_or("0"))) > 1000);
 }
 
-namespace {
-
-// A fake target that counts what it executes and answers with the count.
-struct counting_target {
-    ip_address address = test_address(next_port());
-    std::uint32_t executed = 0;
-    http_server server;
-
-    explicit counting_target(event_loop& loop)
-        : server(loop, address, {}, [this](const http_request&, const auto& exchange) {
-              exchange->respond({200, {}, "booking " + std::to_string(++this->executed)});
-          }) {}
-};
-
-}  // namespace
-
 // Guards R5: a resend through another edge must not run the request again.
 TEST_CASE("a resend with the same key through another edge replays the stored answer") {
     edge_fixture edge({"north", "central", "south"});
--- a/tests/edge/test_first_assignment.cpp
+++ b/tests/edge/test_first_assignment.cpp
@@ -10,18 +10,6 @@
 
 namespace {
 
-struct regional_target {
-    ip_address address = test_address(next_port());
-    std::uint32_t executed = 0;
-    http_server server;
-
-    explicit regional_target(event_loop& loop)
-        : server(loop, address, {}, [this](const http_request&, const auto& exchange) {
-              ++this->executed;
-              exchange->respond({200, {}, "done"});
-          }) {}
-};
-
 void require_not_ready(const http_response& refused) {
     INFO(refused.body);
     CHECK(refused.status == 503);
@@ -38,8 +26,8 @@
 // of its traffic would move to the next region at once, whatever the cap is.
 TEST_CASE("traffic without an assignment does not follow live targets from region to region") {
     edge_fixture edge({"north", "central", "south"}, false);
-    regional_target near(edge.loop);
-    regional_target far(edge.loop);
+    counting_target near(edge.loop, "done");
+    counting_target far(edge.loop, "done");
     edge.announce("near", "lookups", near.address, "ready", "north");
     edge.announce("far", "lookups", far.address, "ready", "south");
     for (int i = 0; i < 10; ++i) {
@@ -54,8 +42,8 @@
 
 TEST_CASE("a service without an assignment for the caller's region refuses with not_ready until it has one") {
     edge_fixture edge({"north", "central", "south"}, false);
-    regional_target lookups(edge.loop);
-    regional_target orders(edge.loop);
+    counting_target lookups(edge.loop, "done");
+    counting_target orders(edge.loop, "done");
     edge.announce("t1", "lookups", lookups.address);
     edge.announce("t2", "orders", orders.address);
     edge.control.assign("lookups", "south", "north");  // of another caller region
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -48,6 +48,15 @@
     return result;
 }
 
+std::vector<lease_holder> make_holders(const std::vector<std::string>& names,
+                                       const wire::configuration_t& configuration, time_point now = time_point(ms(0))) {
+    std::vector<lease_holder> holders;
+    for (const std::string& name : names) {
+        holders.emplace_back(name, names).apply(configuration, now);
+    }
+    return holders;
+}
+
 std::uint64_t any_seed() {
     return *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
 }
@@ -487,10 +496,7 @@
     lease_granter granter(names);
     granter.apply(configuration, fast.at(0));
     granter.become_leader(1, fast.at(0));
-    std::vector<lease_holder> holders;
-    for (const auto& name : names) {
-        holders.emplace_back(name, names).apply(configuration, slow.at(0));
-    }
+    std::vector<lease_holder> holders = make_holders(names, configuration, slow.at(0));
     auto ask = [&](lease_holder& holder, std::int64_t t) {
         resource_claim claim{region, 400};
         holder.reserve(std::span(&claim, 1), slow.at(t));
@@ -521,10 +527,9 @@
     const auto names = edge_names(2);
     const auto configuration = make_configuration(1, 400, 64, 9);
     std::vector<lease_granter> granters(2, lease_granter(names, options));
-    std::vector<lease_holder> holders;
-    for (std::size_t i = 0; i < 2; ++i) {
-        granters[i].apply(configuration, time_point(ms(0)));
-        holders.emplace_back(names[i], names).apply(configuration, time_point(ms(0)));
+    std::vector<lease_holder> holders = make_holders(names, configuration);
+    for (lease_granter& granter : granters) {
+        granter.apply(configuration, time_point(ms(0)));
     }
     auto ask = [&](std::size_t holder, std::size_t leader, std::int64_t t) {
         for (resource_claim claim{slots, 1}; holders[holder].reserve(std::span(&claim, 1), time_point(ms(t)));) {
@@ -649,10 +654,7 @@
     lease_granter granter(names);
     granter.apply(configuration, time_point(ms(0)));
     granter.become_leader(1, time_point(ms(0)));
-    std::vector<lease_holder> holders;
-    for (const auto& name : names) {
-        holders.emplace_back(name, names).apply(configuration, time_point(ms(0)));
-    }
+    std::vector<lease_holder> holders = make_holders(names, configuration);
     std::uint64_t incarnation = 1;
     auto ping = [&](std::size_t i, std::int64_t t) {
         wire::edge_ping_t ping;
@@ -698,10 +700,7 @@
     lease_granter granter(names);
     granter.apply(make_configuration(1, 400, 64, 9), time_point(ms(0)));
     granter.become_leader(1, time_point(ms(0)));
-    std::vector<lease_holder> holders;
-    for (const auto& name : names) {
-        holders.emplace_back(name, names).apply(make_configuration(1, 400, 64, 9), time_point(ms(0)));
-    }
+    std::vector<lease_holder> holders = make_holders(names, make_configuration(1, 400, 64, 9));
     const resource_claim claim{region, 1};
     for (std::int64_t t = 0; t < 5600; ++t) {
         if (t == 5010) {
--- a/tests/steering/test_shift.cpp
+++ b/tests/steering/test_shift.cpp
@@ -210,6 +210,20 @@
         this->processes[this->leader].become_leader(this->now);
     }
 
+    // One step after up to 1.5 s: some services are not measured, and some decisions are lost with their leader.
+    void step_with_faults(std::mt19937_64& random) {
+        for (const auto& name : this->services) {
+            if (random() % 3 != 0) {
+                this->measure(name);
+            }
+        }
+        bool lost = random() % 20 == 0;
+        this->step(ms(static_cast<std::int64_t>(random() % 1500)), lost);
+        if (lost) {
+            this->change_leader();
+        }
+    }
+
     std::uint32_t share(const std::string& caller, const std::string& region) const {
         const shares& parts = this->applied.at({"desk", caller});
         return parts.contains(region) ? parts.at(region) : 0;
@@ -408,16 +422,7 @@
             default:
                 break;
             }
-            for (const auto& name : world.services) {
-                if (random() % 3 != 0) {
-                    world.measure(name);
-                }
-            }
-            bool lost = random() % 20 == 0;
-            world.step(ms(static_cast<std::int64_t>(random() % 1500)), lost);
-            if (lost) {
-                world.change_leader();
-            }
+            world.step_with_faults(random);
         }
     });
 }
@@ -475,16 +480,7 @@
             if (i == 0) {
                 world.detour[region] = 0.3;
             }
-            for (const auto& name : world.services) {
-                if (random() % 3 != 0) {
-                    world.measure(name);
-                }
-            }
-            bool lost = random() % 20 == 0;
-            world.step(ms(static_cast<std::int64_t>(random() % 1500)), lost);
-            if (lost) {
-                world.change_leader();
-            }
+            world.step_with_faults(random);
         }
     });
 }
