--- a/src/control/consensus_driver.h
+++ b/include/persimmongrade/consensus_driver.h
@@ -1,12 +1,13 @@
 // Carries out the actions of the consensus core: synced storage, messages, and committed entries in order.
 //
 // A write or sync that fails ends the participation of this process: it sends and applies nothing more, its leader
-// lease runs out, and the other processes elect a leader. Restarting the process repairs the log.
+// lease runs out, and the other processes elect a leader. reopen() or a restart of the process repairs the log.
 
 #pragma once
 
 #include <algorithm>
 #include <concepts>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -36,9 +37,26 @@
 public:
     // Opens the data directory; throws storage_error types.
     consensus_driver(Host& host, const consensus_options& options, storage_options storage, time_point now)
-        : host(host), storage(this->files, std::move(storage)), loaded(this->storage.take_state()),
+        : host(host), options(options), location(std::move(storage)),
+          storage(std::in_place, this->files, this->location), loaded(this->storage->take_state()),
           initial(this->loaded.newest_snapshot),
-          core(options, this->storage.identity().id, std::move(this->loaded), std::random_device{}(), now) {}
+          core(options, this->storage->identity().id, std::move(this->loaded), std::random_device{}(), now) {}
+
+    // Opens the data directory again after a failure and starts from what it holds. Throws storage_error types, among
+    // them identity_error when the directory is not the one that was opened first; the process then stays out.
+    void reopen(time_point now) {
+        this->location.bootstrap.reset();  // a directory that was emptied meanwhile must not get its old identity
+        this->storage.reset();
+        this->storage.emplace(this->files, this->location);
+        if (this->storage->identity().id != this->core.id()) {
+            this->storage.reset();
+            throw identity_error("the data directory no longer belongs to " + this->core.id());
+        }
+        this->loaded = this->storage->take_state();
+        this->initial = this->loaded.newest_snapshot;
+        this->core = consensus(this->options, this->core.id(), std::move(this->loaded), std::random_device{}(), now);
+        this->start();
+    }
 
     // Hands the stored snapshot to the host. Call once, before any other event.
     void start() {
@@ -54,7 +72,7 @@
     std::uint64_t term() const { return this->core.term(); }
     std::uint64_t commit_index() const { return this->core.commit_index(); }
     const wire::voter_set_t& voters() const { return this->core.voters(); }
-    bool failed() const { return this->storage.failed(); }
+    bool failed() const { return !this->storage || this->storage->failed(); }
     bool is_leader() const { return !this->failed() && this->core.is_leader(); }
     bool can_serve_reads(time_point now) const { return !this->failed() && this->core.can_serve_reads(now); }
     bool is_member() const {
@@ -116,7 +134,7 @@
 
     void carry_out(time_point now, actions todo) {
         this->send(todo.early_messages);
-        this->storage.persist(todo);
+        this->storage->persist(todo);
         this->send(todo.messages);
         this->apply(todo);
         if (todo.voters_changed) {
@@ -148,9 +166,11 @@
     }
 
     Host& host;
+    consensus_options options;
+    storage_options location;
     posix_file_system files;
-    log_storage<posix_file_system> storage;
-    persistent_state loaded;  // moved into the core
+    std::optional<log_storage<posix_file_system>> storage;  // empty while a failed one cannot be opened again
+    persistent_state loaded;                                // moved into the core
     snapshot_pointer initial;
     consensus core;
     std::uint64_t applied_index = 0;
--- a/src/net/listener.h
+++ b/include/persimmongrade/listener.h
@@ -15,4 +15,7 @@
 // Turns off Nagle's algorithm: messages are small and latency matters.
 void set_no_delay(h2o_socket_t* socket);
 
+// Ends a connection whose peer no longer answers: a host without power, or behind a partition, resets nothing.
+void set_liveness(h2o_socket_t* socket);
+
 }  // namespace persimmongrade
--- a/include/persimmongrade/settings.h
+++ b/include/persimmongrade/settings.h
@@ -19,6 +19,8 @@
 wire::edge_settings_t load_edge_settings(const std::string& file);
 wire::control_settings_t load_control_settings(const std::string& file);
 wire::target_settings_t load_target_settings(const std::string& file);
+wire::fleet_settings_t load_gateway_settings(const std::string& file);
+wire::fleet_settings_t load_fleet_control_settings(const std::string& file);
 
 using latency_list = std::vector<std::unique_ptr<wire::latency_setting_t>>;
 
--- /dev/null
+++ b/src/admission/region_share.cpp
@@ -0,0 +1,35 @@
+#include "persimmongrade/region_share.h"
+
+#include <algorithm>
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr double used_part = 0.6;         // of the permitted change, since several services and gateways add up
+constexpr double least_difference = 0.1;  // of utilization, below which moving a request gains nothing
+
+}  // namespace
+
+void region_share::update(time_point now, double local_utilization, double remote_utilization) {
+    if (now - this->updated_at < update_interval) {
+        return;
+    }
+    this->updated_at = now;
+    double step = this->options.max_shift * used_part * static_cast<double>(update_interval.count()) /
+                  static_cast<double>(this->options.window.count());
+    if (local_utilization > this->options.high_utilization &&
+        local_utilization > remote_utilization + least_difference) {
+        this->share = std::min(1.0, this->share + step);
+    } else if (local_utilization < this->options.low_utilization ||
+               remote_utilization > local_utilization + least_difference) {
+        this->share = std::max(0.0, this->share - step);
+    }
+}
+
+bool region_share::is_remote(std::uint64_t hash) const {
+    constexpr double range = 18446744073709551616.0;  // 2^64
+    return static_cast<double>(hash) / range < this->share;
+}
+
+}  // namespace persimmongrade
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -66,6 +66,28 @@
         value = static_cast<std::uint32_t>(number);
     }
 
+    void optional(const std::string& key, double& value, double least, double most) {
+        YAML::Node child = this->find(key);
+        if (!child) {
+            return;
+        }
+        double number = 0;
+        if (!child.IsScalar() || !YAML::convert<double>::decode(child, number)) {
+            this->fail(child, key, "expected a number without a unit");
+        }
+        if (!(number >= least && number <= most)) {
+            this->fail(child, key, "must be between " + std::to_string(least) + " and " + std::to_string(most));
+        }
+        value = number;
+    }
+
+    void optional(const std::string& key, bool& value) {
+        YAML::Node child = this->find(key);
+        if (child && (!child.IsScalar() || !YAML::convert<bool>::decode(child, value))) {
+            this->fail(child, key, "expected true or false");
+        }
+    }
+
     void require_addresses(const std::string& key, std::vector<std::string>& values) {
         YAML::Node child = this->required(key);
         if (!child.IsSequence() || child.size() == 0) {
@@ -254,6 +276,68 @@
     return settings;
 }
 
+namespace {
+
+void read_fleet_bounds(mapping_reader& reader, wire::fleet_settings_t& settings) {
+    reader.optional("heartbeat_ms", settings.heartbeat_ms, 100, 60000);
+    reader.optional("stop_timeout_ms", settings.stop_timeout_ms, 500, 600000);
+    reader.optional("contact_ms", settings.contact_ms, 100, 600000);
+    reader.optional("warm_up_overshoot", settings.warm_up_overshoot, 1, 100);
+    reader.optional("warm_up_slack", settings.warm_up_slack, 0, 100000);
+    reader.optional("retry_ratio", settings.retry_ratio, 0, 10);
+    reader.optional("retry_window_ms", settings.retry_window_ms, 100, 600000);
+    reader.optional("max_shift", settings.max_shift, 0, 1);
+    reader.optional("memory_mb", settings.memory_mb, 32, 1048576);
+    reader.optional("descriptors", settings.descriptors, 64, 10000000);
+}
+
+wire::fleet_settings_t read_fleet(const std::string& file, mapping_reader& reader) {
+    wire::fleet_settings_t settings;
+    reader.require("cluster", settings.cluster);
+    reader.require("node", settings.node);
+    reader.require("region", settings.region);
+    reader.require("zone", settings.zone);
+    reader.require_address("peer_address", settings.peer_address);
+    reader.require_address("metrics_address", settings.metrics_address);
+    reader.require_addresses("seeds", settings.seeds);
+    bool own_zone = false;
+    reader.each("zones", true, [&](mapping_reader& item) {
+        auto zone = std::make_unique<wire::zone_setting_t>();
+        item.require("zone", zone->zone);
+        item.require("region", zone->region);
+        own_zone = own_zone || (zone->zone == settings.zone && zone->region == settings.region);
+        settings.zones.push_back(std::move(zone));
+    });
+    if (!own_zone) {
+        throw settings_error(file + ":0", "zones", "must list zone '" + settings.zone + "' with its region");
+    }
+    read_fleet_bounds(reader, settings);
+    return settings;
+}
+
+}  // namespace
+
+wire::fleet_settings_t load_gateway_settings(const std::string& file) {
+    mapping_reader reader(file, load_file(file), "");
+    wire::fleet_settings_t settings = read_fleet(file, reader);
+    reader.require_address("front_address", settings.front_address);
+    reader.require_address("ready_address", settings.ready_address);
+    reader.finish();
+    return settings;
+}
+
+wire::fleet_settings_t load_fleet_control_settings(const std::string& file) {
+    mapping_reader reader(file, load_file(file), "");
+    wire::fleet_settings_t settings = read_fleet(file, reader);
+    reader.require_address("control_http_address", settings.control_http_address);
+    reader.require_address("entry_http_address", settings.entry_http_address);
+    reader.require("data_directory", settings.data_directory);
+    reader.optional("bootstrap", settings.bootstrap);
+    reader.optional("lost_disks", settings.lost_disks, 0, 10);
+    reader.finish();
+    return settings;
+}
+
 duration simulated_delay(const latency_list& latencies, const std::string& region) {
     for (const auto& latency : latencies) {
         if (latency->to_region == region) {
--- a/src/control/server_state.h
+++ b/src/control/server_state.h
@@ -19,9 +19,9 @@
 #include <string>
 #include <vector>
 
-#include "consensus_driver.h"
 #include "operator_api.h"
 #include "persimmongrade/capacity_lease.h"
+#include "persimmongrade/consensus_driver.h"
 #include "persimmongrade/control_server.h"
 #include "persimmongrade/distribution.h"
 #include "persimmongrade/http_client.h"
--- /dev/null
+++ b/src/fleet/fleet_control.cpp
@@ -0,0 +1,660 @@
+// Contents: state and start; members of the log; orders and committed entries; gateways; targets; public interface.
+
+#include "persimmongrade/fleet_control.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <utility>
+
+#include "persimmongrade/address.h"
+#include "persimmongrade/consensus_driver.h"
+#include "persimmongrade/event_log.h"
+#include "persimmongrade/peer_transport.h"
+#include "persimmongrade/target_registry.h"
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr duration consensus_tick = ms(10);
+constexpr duration election_timeout = ms(500);  // ten times the round trip between regions, and a slow sync
+constexpr duration leader_heartbeat = ms(100);
+constexpr std::size_t snapshot_entries = 500;  // a state of a few hundred items is quicker to load than the entries
+constexpr duration join_interval = ms(300);
+constexpr duration lost_voter_age = ms(1500);  // silence after which a waiting process may take a voter's place
+constexpr duration session_tick = ms(100);
+constexpr duration report_batch_interval = ms(200);
+constexpr duration gateway_silence = ms(1200);  // four missed pings
+constexpr duration gateway_memory = ms(10000);  // gateways counted for shares of what all of them may use
+constexpr duration resend_after = ms(400);
+constexpr duration storage_retry_interval = ms(300);
+constexpr duration order_timeout = ms(3000);
+constexpr std::size_t max_targets_per_message = 200;
+constexpr int target_silence_beats = 8;  // missed reports after which a target is forgotten
+
+using item_batch_pointer = std::unique_ptr<wire::item_batch_t>;
+
+std::string peer_address_of(const std::string& http_address, std::uint16_t peer_port) {
+    ip_address address = ip_address::parse(http_address);
+    address.port = peer_port;
+    return address.to_string();
+}
+
+byte_string encode_command(const wire::fleet_command_t& command) {
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::fleet_command::Pack(builder, &command));
+    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+}
+
+}  // namespace
+
+// ---- State ----
+
+struct fleet_control::impl {
+    struct order {
+        wire::fleet_command_t command;
+        order_callback callback;
+        time_point received_at{};
+    };
+
+    struct session {  // of a gateway
+        wire::gateway_ping_t ping;
+        time_point heard_at{};
+        std::uint64_t items_sent = 0;  // log index
+        time_point items_sent_at{};
+        std::uint64_t reports_sent = 0;
+        time_point reports_sent_at{};
+        bool new_session = true;
+    };
+
+    event_loop& loop;
+    wire::fleet_settings_t settings;
+    std::uint16_t peer_port;
+    std::uint16_t http_port;
+    item_store items;
+    target_registry targets;
+    consensus_driver<impl> log;
+    peer_transport peers;
+    std::map<std::string, std::string> connected;  // address by member id
+    std::set<std::string> asked;                   // peer addresses of processes that may know the leader
+    std::deque<order> waiting;                     // one is in the log at a time, so that each is checked against
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> proposed;  // the state before it: index and term
+    std::map<std::string, session> sessions;                          // by gateway id
+    std::vector<std::string> renewed;                                 // target ids to be sent with the next batch
+    std::map<std::string, time_point> heard_members;
+    bool is_stopping = false;
+    bool had_leader = false;
+    prometheus::Counter& orders_accepted;
+    prometheus::Counter& orders_refused;
+    prometheus::Counter& reports_received;
+    prometheus::Counter& reports_refused;
+    prometheus::Gauge& leader_gauge;
+    prometheus::Gauge& applied_gauge;
+    prometheus::Gauge& targets_gauge;
+    prometheus::Gauge& gateways_gauge;
+
+    impl(event_loop& loop, const wire::fleet_settings_t& given, metric_registry& metrics)
+        : loop(loop), settings(given), peer_port(ip_address::parse(given.peer_address).port),
+          http_port(ip_address::parse(given.control_http_address).port),
+          log(*this, log_options(), this->data_options(), loop.now()),
+          peers(loop, settings.cluster, this->log.id(), ip_address::parse(settings.peer_address), metrics,
+                [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
+          orders_accepted(
+              metrics.counter("persimmongrade_orders_total", "Orders of operators.", {{"outcome", "accepted"}})),
+          orders_refused(
+              metrics.counter("persimmongrade_orders_total", "Orders of operators.", {{"outcome", "refused"}})),
+          reports_received(
+              metrics.counter("persimmongrade_target_reports_total", "Reports of targets.", {{"outcome", "accepted"}})),
+          reports_refused(
+              metrics.counter("persimmongrade_target_reports_total", "Reports of targets.", {{"outcome", "refused"}})),
+          leader_gauge(metrics.gauge("persimmongrade_leader", "1 while this process leads the log.")),
+          applied_gauge(metrics.gauge("persimmongrade_applied_index", "Log index of the applied items.")),
+          targets_gauge(metrics.gauge("persimmongrade_targets", "Targets known.")),
+          gateways_gauge(metrics.gauge("persimmongrade_gateways", "Gateways heard recently.")) {
+        for (const std::string& seed : this->settings.seeds) {
+            this->asked.insert(peer_address_of(seed, this->peer_port));
+        }
+        this->log.start();
+        loop.every(consensus_tick, [this] { this->tick(); });
+        loop.every(join_interval, [this] { this->ask_to_join(); });
+        loop.every(session_tick, [this] { this->check_sessions(); });
+        loop.every(report_batch_interval, [this] { this->send_renewed(); });
+        loop.every(storage_retry_interval, [this] { this->reopen_failed_log(); });
+    }
+
+    static consensus_options log_options() {
+        consensus_options options;
+        options.election_timeout = election_timeout;
+        options.heartbeat_interval = leader_heartbeat;
+        options.snapshot_threshold = snapshot_entries;
+        options.retained_entries = snapshot_entries / 2;
+        return options;
+    }
+
+    storage_options data_options() const {
+        storage_options storage;
+        storage.directory = this->settings.data_directory;
+        storage.name = this->settings.peer_address;
+        std::random_device random;
+        storage.identity_seed = (static_cast<std::uint64_t>(random()) << 32U) | random();
+        const auto& seeds = this->settings.seeds;
+        bool founder = std::find(seeds.begin(), seeds.end(), this->settings.control_http_address) != seeds.end();
+        if (this->settings.bootstrap && founder) {
+            storage.bootstrap.emplace();
+            for (const std::string& seed : seeds) {
+                auto voter = std::make_unique<wire::voter_t>();
+                voter->address = peer_address_of(seed, this->peer_port);
+                voter->id = voter->address;
+                storage.bootstrap->voters.push_back(std::move(voter));
+            }
+        }
+        return storage;
+    }
+
+    // A write that failed leaves the end of the log unknown; opening the directory again repairs it.
+    void reopen_failed_log() {
+        if (!this->log.failed()) {
+            return;
+        }
+        try {
+            this->log.reopen(this->loop.now());
+            log_event("storage_regained", field("directory", this->settings.data_directory));
+        } catch (const storage_error& failure) {
+            log_event("storage_unusable", field("reason", failure.what()));
+        }
+    }
+
+    void tick() {
+        this->log.tick(this->loop.now());
+        bool has_leader = !this->log.leader_id().empty();
+        if (has_leader != this->had_leader) {
+            this->had_leader = has_leader;
+            log_event(has_leader ? "leader_known" : "leader_lost", field("leader", this->log.leader_id()),
+                      field("term", this->log.term()));
+        }
+        while (!this->waiting.empty() && this->loop.now() - this->waiting.front().received_at > order_timeout) {
+            this->answer_front({order_status::unavailable, "the log did not commit in time", {}});
+            this->proposed.reset();
+        }
+    }
+
+    // ---- Members of the log ----
+
+    const wire::voter_t* member_at(const std::string& address) const {
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->address == address) {
+                return voter.get();
+            }
+        }
+        return nullptr;
+    }
+
+    std::vector<std::string> member_addresses() const {
+        std::set<std::string> addresses;
+        for (const auto& voter : this->log.voters().voters) {
+            addresses.insert(voter->address);
+        }
+        return {addresses.begin(), addresses.end()};
+    }
+
+    // Messages to a member that another one at the same address replaces would reach its replacement.
+    void members_changed() {
+        std::map<std::string, std::string> wanted;
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->id != this->log.id() && voter->address != this->settings.peer_address) {
+                wanted[voter->id] = voter->address;
+            }
+        }
+        for (const auto& voter : this->log.voters().voters) {
+            wanted.erase(voter->replaces);
+        }
+        for (const auto& [id, address] : this->connected) {
+            if (!wanted.contains(id)) {
+                this->peers.remove_peer(id);
+            }
+        }
+        for (const auto& [id, address] : wanted) {
+            if (!this->connected.contains(id)) {
+                this->peers.add_peer(id, ip_address::parse(address));
+            }
+            this->asked.insert(address);
+        }
+        this->connected = std::move(wanted);
+        std::string names;
+        for (const auto& voter : this->log.voters().voters) {
+            names += (names.empty() ? "" : ",") + voter->id + (voter->voting ? "" : "(learning)");
+        }
+        log_event("members_changed", field("members", names), field("term", this->log.term()));
+    }
+
+    static std::string asked_peer(const std::string& address) { return "ask " + address; }
+
+    void ask_to_join() {
+        if (this->log.is_member() || this->is_stopping || this->log.failed()) {
+            for (const std::string& address : this->asked) {
+                this->peers.remove_peer(asked_peer(address));
+            }
+            return;
+        }
+        for (const std::string& address : this->asked) {
+            if (address == this->settings.peer_address) {
+                continue;
+            }
+            this->peers.add_peer(asked_peer(address), ip_address::parse(address));
+            wire::join_request_t request;
+            request.id = this->log.id();
+            request.address = this->settings.peer_address;
+            this->peers.send(asked_peer(address), request);
+        }
+    }
+
+    void answer_join(const std::string& from, const wire::join_request_t& request) {
+        wire::join_reply_t reply;
+        reply.members = this->member_addresses();
+        this->peers.send(from, reply);
+        if (!this->log.is_leader() || this->is_stopping) {
+            return;
+        }
+        membership_change change;
+        change.member.id = request.id;
+        change.member.address = request.address;
+        change.member.voting = false;
+        std::size_t voters = 0;
+        std::string lost;
+        time_point now = this->loop.now();
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->id == request.id) {
+                return;
+            }
+            ++voters;
+            if (voter->address == request.address) {
+                change.member.replaces = voter->id;
+            }
+            time_point heard = this->heard_members.try_emplace(voter->id, now).first->second;
+            if (voter->id != this->log.id() && now - heard > lost_voter_age) {
+                lost = voter->id;
+            }
+        }
+        if (change.member.replaces.empty() && voters >= 2 * this->settings.lost_disks + 1) {
+            if (lost.empty()) {
+                return;  // all voters are there
+            }
+            change.member.replaces = lost;
+        }
+        try {
+            this->log.change_voters(now, change);
+            log_event("member_added", field("id", request.id), field("replaces", change.member.replaces),
+                      field("voters", voters));
+        } catch (const error& failure) {  // another change is under way: the process asks again
+            log_event("member_not_added", field("id", request.id), field("reason", failure.what()));
+        }
+    }
+
+    // ---- Messages ----
+
+    void send(const std::string& to, wire::messageUnion body) { this->peers.send_message(to, std::move(body)); }
+
+    void receive(const wire::envelope_t& envelope) {
+        if (const auto* ping = envelope.body.Asgateway_ping()) {
+            this->on_ping(envelope.from, *ping);
+        } else if (const auto* reports = envelope.body.Astarget_reports()) {
+            for (const auto& report : reports->reports) {
+                this->merge_report(*report, false);
+            }
+        } else if (const auto* request = envelope.body.Asjoin_request()) {
+            this->answer_join(envelope.from, *request);
+        } else if (const auto* reply = envelope.body.Asjoin_reply()) {
+            this->asked.insert(reply->members.begin(), reply->members.end());
+        } else {
+            this->heard_members[envelope.from] = this->loop.now();
+            this->log.receive(this->loop.now(), envelope.from, envelope.body);
+        }
+    }
+
+    // ---- Orders and committed entries ----
+
+    std::string leader_http_address() const {
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->id == this->log.leader_id()) {
+                ip_address address = ip_address::parse(voter->address);
+                address.port = this->http_port;
+                return address.to_string();
+            }
+        }
+        return {};
+    }
+
+    std::optional<order_result> not_leading() const {
+        if (this->log.is_leader() && !this->is_stopping) {
+            return std::nullopt;
+        }
+        std::string leader = this->leader_http_address();
+        bool known = !leader.empty() && leader != this->settings.control_http_address;
+        return order_result{known ? order_status::not_leader : order_status::unavailable,
+                            known ? "" : "no leader is known", leader};
+    }
+
+    void enqueue(order received) {
+        if (auto refused = this->not_leading()) {
+            received.callback(*refused);
+            return;
+        }
+        received.received_at = this->loop.now();
+        this->waiting.push_back(std::move(received));
+        this->propose_next();
+    }
+
+    void answer_front(const order_result& result) {
+        order finished = std::move(this->waiting.front());
+        this->waiting.pop_front();
+        (result.status == order_status::accepted ? this->orders_accepted : this->orders_refused).Increment();
+        const auto& command = finished.command;
+        log_event("order", field("kind", command.batch ? "items" : "evacuation"),
+                  field("items", command.batch ? command.batch->items.size() : 0),
+                  field("zone", command.evacuation ? command.evacuation->zone : "-"),
+                  field("outcome", static_cast<int>(result.status)), field("detail", result.detail),
+                  field("applied", this->items.applied()), field("term", this->log.term()),
+                  field("took_ms", (this->loop.now() - finished.received_at).count()));
+        finished.callback(result);
+    }
+
+    // Orders are checked and proposed one after the other, so that each is checked against what it will change.
+    void propose_next() {
+        while (!this->waiting.empty() && !this->proposed) {
+            if (auto refused = this->not_leading()) {
+                this->answer_front(*refused);
+                continue;
+            }
+            if (!this->log.can_serve_reads(this->loop.now())) {
+                return;  // earlier commits are not applied yet: tick() asks again
+            }
+            const order& next = this->waiting.front();
+            if (const auto& batch = next.command.batch) {
+                auto problem = this->items.was_accepted(batch->digest) ? std::nullopt : this->items.problem(*batch);
+                if (problem) {
+                    this->answer_front({order_status::invalid, *problem, {}});
+                    continue;
+                }
+            }
+            try {
+                this->log.propose(
+                    this->loop.now(), {encode_command(next.command)},
+                    [this](std::uint64_t index, std::uint64_t term) { this->proposed = std::pair(index, term); });
+            } catch (const error& failure) {  // leadership is being handed over
+                this->answer_front({order_status::unavailable, failure.what(), {}});
+            }
+        }
+    }
+
+    void apply_entry(const wire::log_entry_t& entry) {
+        if (entry.kind == wire::entry_kind::command) {
+            std::unique_ptr<wire::fleet_command_t> command(
+                flatbuffers::GetRoot<wire::fleet_command>(entry.payload.data())->UnPack());
+            if (command->batch) {
+                this->items.apply(*command->batch, entry.index);
+            }
+            if (command->evacuation) {
+                this->items.apply(*command->evacuation, entry.index);
+            }
+        }
+        if (!this->proposed || entry.index < this->proposed->first) {
+            return;
+        }
+        bool same = entry.index == this->proposed->first && entry.term == this->proposed->second;
+        this->proposed.reset();
+        if (!this->waiting.empty()) {
+            this->answer_front(same ? order_result{order_status::accepted, {}, {}}
+                                    : order_result{order_status::unavailable, "leadership was lost", {}});
+        }
+    }
+
+    void batch_applied() {
+        for (auto& [id, known] : this->sessions) {
+            this->send_items(id, known);
+        }
+        if (!this->proposed) {
+            this->loop.after(duration::zero(), [this] { this->propose_next(); });
+        }
+    }
+
+    void install_state(const byte_string& bytes) { this->items.load(bytes); }
+    byte_string save_state() const { return this->items.snapshot(); }
+
+    void leadership_changed(leadership_change change) {
+        this->leader_gauge.Set(change == leadership_change::gained ? 1 : 0);
+        log_event("leadership", field("gained", change == leadership_change::gained), field("id", this->log.id()),
+                  field("term", this->log.term()));
+        if (change == leadership_change::gained) {
+            this->heard_members.clear();
+            return;
+        }
+        this->proposed.reset();
+        while (!this->waiting.empty()) {
+            this->answer_front({order_status::unavailable, "leadership was lost", {}});
+        }
+    }
+
+    // ---- Gateways ----
+
+    void on_ping(const std::string& from, const wire::gateway_ping_t& ping) {
+        time_point now = this->loop.now();
+        session& known = this->sessions[from];
+        bool was_serving = known.ping.serving;
+        known.ping = ping;
+        known.heard_at = now;
+        if (known.new_session || was_serving != ping.serving) {
+            log_event("gateway", field("id", from), field("address", ping.address), field("serving", ping.serving),
+                      field("applied", ping.applied));
+        }
+        bool lost_items = ping.applied < known.items_sent && now - known.items_sent_at > resend_after;
+        if (lost_items || known.items_sent < ping.applied) {
+            known.items_sent = ping.applied;
+        }
+        this->send_items(from, known);
+        bool lost_reports = ping.reports_number < known.reports_sent && now - known.reports_sent_at > resend_after;
+        if (known.new_session || lost_reports || ping.reports_number > known.reports_sent) {
+            known.reports_sent = std::max(known.reports_sent, ping.reports_number);
+            this->send_all_reports(from, known);
+        }
+        known.new_session = false;
+        wire::gateway_pong_t pong;
+        pong.sequence = ping.sequence;
+        pong.address = this->settings.peer_address;
+        pong.members = this->member_addresses();
+        pong.has_leader = !this->log.leader_id().empty();
+        pong.region_gateways = static_cast<std::uint32_t>(
+            std::count_if(this->sessions.begin(), this->sessions.end(),
+                          [&](const auto& entry) { return entry.second.ping.region == ping.region; }));
+        this->peers.send(from, pong);
+    }
+
+    void send_items(const std::string& id, session& known) {
+        if (known.items_sent >= this->items.applied()) {
+            return;
+        }
+        auto delta = this->items.changes_since(known.items_sent);
+        if (this->peers.send(id, std::move(delta))) {
+            known.items_sent = this->items.applied();
+            known.items_sent_at = this->loop.now();
+        }
+    }
+
+    void send_reports(const std::string& id, session& known, const std::vector<wire::target_report_t>& reports,
+                      bool full) {
+        wire::target_reports_t message;
+        message.number = ++known.reports_sent;
+        message.full = full;
+        for (const auto& report : reports) {
+            message.reports.push_back(std::make_unique<wire::target_report_t>(report));
+        }
+        known.reports_sent_at = this->loop.now();
+        this->peers.send(id, std::move(message));
+    }
+
+    void send_all_reports(const std::string& id, session& known) {
+        std::vector<wire::target_report_t> reports;
+        this->targets.each([&](const target_registry::entry& target) {
+            reports.push_back(this->targets.aged(target, this->loop.now()));
+        });
+        for (std::size_t i = 0; i < reports.size(); i += max_targets_per_message) {
+            auto first = reports.begin() + static_cast<std::ptrdiff_t>(i);
+            auto last =
+                reports.begin() + static_cast<std::ptrdiff_t>(std::min(reports.size(), i + max_targets_per_message));
+            this->send_reports(id, known, {first, last}, true);
+        }
+    }
+
+    void send_renewed() {
+        if (this->renewed.empty()) {
+            return;
+        }
+        std::vector<wire::target_report_t> reports;
+        for (const std::string& id : std::exchange(this->renewed, {})) {
+            if (const auto* known = this->targets.find(id)) {
+                reports.push_back(this->targets.aged(*known, this->loop.now()));
+            }
+        }
+        for (auto& [id, known] : this->sessions) {
+            this->send_reports(id, known, reports, false);
+        }
+    }
+
+    void check_sessions() {
+        time_point now = this->loop.now();
+        std::erase_if(this->sessions, [&](const auto& entry) {
+            bool silent = now - entry.second.heard_at > gateway_memory;
+            if (silent) {
+                log_event("gateway_forgotten", field("id", entry.first));
+            }
+            return silent;
+        });
+        for (const std::string& id :
+             this->targets.expire(now, ms(this->settings.heartbeat_ms * target_silence_beats))) {
+            log_event("target_forgotten", field("target", id));
+        }
+        this->propose_next();
+        this->applied_gauge.Set(static_cast<double>(this->items.applied()));
+        this->targets_gauge.Set(static_cast<double>(this->targets.size()));
+        this->gateways_gauge.Set(static_cast<double>(this->sessions.size()));
+    }
+
+    // ---- Targets ----
+
+    report_effect merge_report(const wire::target_report_t& report, bool first_hand) {
+        time_point now = this->loop.now();
+        report_effect effect = this->targets.merge(report, now);
+        if (effect == report_effect::changed) {
+            const auto* known = this->targets.find(report.id);
+            log_event("target", field("target", report.id), field("service", known->report.service),
+                      field("address", known->report.address), field("phase", wire::EnumNametarget_phase(report.phase)),
+                      field("started_at", known->report.started_at_ms), field("sequence", report.sequence),
+                      field("warm_up_left_ms", report.warm_up_left_ms), field("first_hand", first_hand));
+            for (auto& [id, gateway] : this->sessions) {
+                this->send_reports(id, gateway, {this->targets.aged(*known, now)}, false);
+            }
+            if (first_hand) {
+                for (const auto& [id, address] : this->connected) {
+                    wire::target_reports_t message;
+                    message.reports.push_back(std::make_unique<wire::target_report_t>(this->targets.aged(*known, now)));
+                    this->peers.send(id, std::move(message));
+                }
+            }
+        } else if (effect == report_effect::renewed && first_hand) {
+            this->renewed.push_back(report.id);
+        }
+        return effect;
+    }
+
+    bool report(wire::target_report_t report) {
+        // A change that stays within a minority would not reach every gateway.
+        bool leaves = report.phase != wire::target_phase::ready;
+        const auto* known = this->targets.find(report.id);
+        if (report.started_at_ms == 0 && known != nullptr) {
+            report.started_at_ms = known->report.started_at_ms;
+            if (report.phase == wire::target_phase::gone) {
+                report.sequence = std::max(report.sequence, known->report.sequence + 1);
+            }
+        }
+        this->merge_report(report, true);
+        bool recorded = !leaves || !this->log.leader_id().empty();
+        (recorded ? this->reports_received : this->reports_refused).Increment();
+        return recorded;
+    }
+};
+
+// ---- Public interface ----
+
+fleet_control::fleet_control(event_loop& loop, const wire::fleet_settings_t& settings, metric_registry& metrics)
+    : state(std::make_unique<impl>(loop, settings, metrics)) {}
+
+fleet_control::~fleet_control() = default;
+
+void fleet_control::submit(wire::item_batch_t batch, order_callback callback) {
+    impl::order received;
+    received.command.batch = std::make_unique<wire::item_batch_t>(std::move(batch));
+    received.callback = std::move(callback);
+    this->state->enqueue(std::move(received));
+}
+
+void fleet_control::evacuate(const std::string& zone, bool active, order_callback callback) {
+    impl::order received;
+    received.command.evacuation = std::make_unique<wire::zone_evacuation_t>();
+    received.command.evacuation->zone = zone;
+    received.command.evacuation->active = active;
+    received.callback = std::move(callback);
+    this->state->enqueue(std::move(received));
+}
+
+order_result fleet_control::readable() const {
+    if (auto refused = this->state->not_leading()) {
+        return *refused;
+    }
+    if (!this->state->log.can_serve_reads(this->state->loop.now())) {
+        return {order_status::unavailable, "the leader has not confirmed its leadership yet", {}};
+    }
+    return {order_status::accepted, {}, {}};
+}
+
+const item_store& fleet_control::items() const noexcept {
+    return this->state->items;
+}
+
+bool fleet_control::report(wire::target_report_t report) {
+    return this->state->report(std::move(report));
+}
+
+std::vector<std::string> fleet_control::gateways_for(const std::string& region, const std::string& zone) const {
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    time_point now = this->state->loop.now();
+    for (const auto& [id, known] : this->state->sessions) {
+        if (known.ping.serving && now - known.heard_at <= gateway_silence) {
+            bool in_region = known.ping.region == region;
+            auto& list = in_region ? near : far;
+            list.insert(known.ping.zone == zone ? list.begin() : list.end(), known.ping.address);
+        }
+    }
+    return near.empty() ? far : near;
+}
+
+void fleet_control::stop(std::function<void()> done) {
+    impl& control = *this->state;
+    if (std::exchange(control.is_stopping, true)) {
+        return;
+    }
+    log_event("stopping", field("leader", control.log.is_leader()));
+    while (!control.waiting.empty() && !control.proposed) {
+        control.answer_front({order_status::unavailable, "the process is stopping", {}});
+    }
+    try {
+        control.log.transfer_leadership(control.loop.now());
+    } catch (const error& reason) {  // nothing to hand over, or nobody to take it
+        log_event("leadership_kept", field("reason", reason.what()));
+    }
+    constexpr duration handover = ms(800);  // an election and the answers that wait for it
+    control.loop.after(handover, std::move(done));
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,659 @@
+// Contents: state; beliefs; requests from clients; sending to targets and their answers; ends of requests; stop.
+
+#include "persimmongrade/gateway.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "control_link.h"
+#include "front_server.h"
+#include "persimmongrade/event_log.h"
+#include "persimmongrade/retry_budget.h"
+#include "route_table.h"
+#include "target_client.h"
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr int status_multiple_choices = 300;
+constexpr int status_not_found = 404;
+constexpr int status_misdirected = 421;
+constexpr int status_server_error = 500;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_timeout = 504;
+
+constexpr duration poll_interval = ms(8);  // while requests wait: load reports of targets fade
+constexpr duration answer_margin = ms(8);  // an answer must reach the client before its time is over
+constexpr duration belief_check_interval = ms(500);
+constexpr duration starting_retry = ms(300);  // until items are known
+constexpr unsigned max_unproven_sends = 6;    // to targets that did not run the request, beside the attempts
+constexpr unsigned log_one_success_in = 64;
+constexpr double cold_margin = 0.8;        // of the rate that a cold target bears: counts are spread over links
+constexpr int target_silence_beats = 5;    // missed reports after which a target is not used
+constexpr duration leave_time = ms(2500);  // clients have asked the directory again by then
+constexpr duration stop_check_interval = ms(50);
+constexpr duration stop_margin = ms(300);              // before the process is killed
+constexpr std::size_t descriptors_per_connection = 3;  // of a client, with its share of connections to targets
+constexpr std::size_t bytes_per_mb = 1048576;
+
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed) {
+    return XXH64(text.data(), text.size(), seed);
+}
+
+std::optional<std::uint64_t> parse_number(const std::string* text) {
+    std::uint64_t value = 0;
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    auto [end, failure] = std::from_chars(text->data(), text->data() + text->size(), value);
+    bool whole = failure == std::errc() && end == text->data() + text->size() && !text->empty();
+    return whole ? std::optional(value) : std::nullopt;
+}
+
+std::string_view cookie_value(const message_head& head, std::string_view name) {
+    for (const http_header& header : head.headers) {
+        if (!same_name(header.name, "cookie")) {
+            continue;
+        }
+        std::string_view rest = header.value;
+        while (!rest.empty()) {
+            std::size_t end = std::min(rest.find(';'), rest.size());
+            std::string_view pair = rest.substr(0, end);
+            pair.remove_prefix(std::min(pair.find_first_not_of(' '), pair.size()));
+            if (pair.size() > name.size() && pair.starts_with(name) && pair[name.size()] == '=') {
+                return pair.substr(name.size() + 1);
+            }
+            rest.remove_prefix(std::min(end + 1, rest.size()));
+        }
+    }
+    return {};
+}
+
+std::string seconds_text(duration time) {
+    constexpr std::int64_t ms_per_second = 1000;
+    std::string fraction = std::to_string(time.count() % ms_per_second);
+    return std::to_string(time.count() / ms_per_second) + "." + std::string(3 - fraction.size(), '0') + fraction;
+}
+
+}  // namespace
+
+// ---- State ----
+
+struct gateway::impl {
+    struct request {
+        request_id id = 0;
+        std::shared_ptr<front_exchange> exchange;
+        front_request received;
+        std::string attempt;
+        std::string route;
+        std::uint64_t route_version = 0;
+        std::string service;
+        bool repeatable = false;
+        unsigned max_attempts = 1;
+        dispatch_request order;
+        time_point received_at{};
+        time_point first_sent_at{};
+        time_point ends_at{};  // the client's time or the route's, whichever ends first
+        timer_id end_timer = 0;
+        unsigned attempts = 0;        // targets that may have run it
+        unsigned unproven_sends = 0;  // targets that did not
+        call_id call = 0;             // 0: not at a target now
+        std::string target;
+        double predicted_ms = 0;
+        std::optional<front_answer> failure;  // of a target, passed on when nothing better comes
+        std::string last_reason;
+    };
+
+    event_loop& loop;
+    wire::fleet_settings_t settings;
+    gateway_dialect dialect;
+    item_store items;
+    target_registry targets;
+    route_table routes;
+    dispatcher decisions;
+    target_client client;
+    control_link control;
+    front_server front;
+    std::unordered_map<request_id, std::unique_ptr<request>> requests;
+    std::map<std::string, retry_budget> budgets;      // by service
+    std::map<std::string, time_point> taken_back_at;  // end of the evacuation, by zone
+    std::set<std::string> evacuated;
+    request_id next_id = 1;
+    std::uint64_t successes = 0;
+    timer_id poll_timer = 0;
+    bool is_stopping = false;
+    metric_registry& metrics;
+    std::map<std::string, prometheus::Counter*> outcomes;
+    prometheus::Histogram& answer_seconds;
+    prometheus::Histogram& wait_seconds;
+    prometheus::Counter& retries;
+    prometheus::Gauge& waiting_gauge;
+    prometheus::Gauge& index_gauge;
+    prometheus::Gauge& targets_gauge;
+    prometheus::Gauge& control_gauge;
+    prometheus::Gauge& connections_gauge;
+
+    impl(event_loop& loop, const wire::fleet_settings_t& given, const gateway_dialect& dialect,
+         metric_registry& metrics)
+        : loop(loop), settings(given), dialect(dialect),
+          decisions(
+              {.region = given.region, .shift = {.max_shift = given.max_shift}, .random_seed = std::random_device{}()}),
+          client(loop, {}), control(loop, given, metrics, this->items, this->targets,
+                                    [this](const control_news& news) { this->on_news(news); }),
+          front(loop, ip_address::parse(given.front_address), front_options_of(given),
+                [this](front_request received, std::shared_ptr<front_exchange> exchange) {
+                    this->on_request(std::move(received), std::move(exchange));
+                }),
+          metrics(metrics),
+          answer_seconds(metrics.histogram("persimmongrade_answer_seconds", "Time from a request to its answer.",
+                                           {0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5, 10})),
+          wait_seconds(metrics.histogram("persimmongrade_wait_seconds", "Time from a request to its first target.",
+                                         {0.001, 0.01, 0.05, 0.1, 0.2, 0.5, 1, 5})),
+          retries(metrics.counter("persimmongrade_retries_total", "Requests sent to a further target.")),
+          waiting_gauge(metrics.gauge("persimmongrade_waiting", "Requests that wait for a target.")),
+          index_gauge(metrics.gauge("persimmongrade_applied_index", "Log index of the items in force.")),
+          targets_gauge(metrics.gauge("persimmongrade_targets", "Targets known.")),
+          control_gauge(metrics.gauge("persimmongrade_control_in_touch", "Control processes that answer.")),
+          connections_gauge(metrics.gauge("persimmongrade_client_connections", "Open connections of clients.")) {
+        loop.every(belief_check_interval, [this] { this->check_beliefs(); });
+    }
+
+    static front_options front_options_of(const wire::fleet_settings_t& settings) {
+        front_options options;
+        options.max_connections = settings.descriptors / descriptors_per_connection;
+        options.max_buffered_bytes = settings.memory_mb * bytes_per_mb / 4;  // the rest is for answers and buffers
+        return options;
+    }
+
+    // ---- Beliefs ----
+
+    void on_news(const control_news& news) {
+        if (news.items_changed) {
+            this->items_changed();
+        }
+        for (const std::string& id : news.targets) {
+            this->believe(id);
+        }
+        this->pump();
+    }
+
+    void items_changed() {
+        this->routes = route_table(this->items);
+        this->items.each([this](const wire::item_t& item) {
+            if (item.kind == wire::item_kind::limits) {
+                this->front.set_limits({item.limits->max_header_bytes, item.limits->max_body_bytes,
+                                        ms(item.limits->header_timeout_ms), ms(item.limits->idle_timeout_ms)});
+            }
+        });
+        std::set<std::string> now_evacuated = this->items.evacuated_zones();
+        for (const std::string& zone : this->evacuated) {
+            if (!now_evacuated.contains(zone)) {
+                this->taken_back_at[zone] = this->loop.now();
+            }
+        }
+        this->evacuated = std::move(now_evacuated);
+        this->believe_all();
+        this->control.set_serving(this->ready());
+    }
+
+    void believe_all() {
+        std::vector<std::string> ids;
+        this->targets.each([&](const target_registry::entry& known) { ids.push_back(known.report.id); });
+        for (const std::string& id : ids) {
+            this->believe(id);
+        }
+    }
+
+    unsigned cold_quota(const wire::target_report_t& report, const wire::service_rule_t& rule) const {
+        if (report.region != this->settings.region) {
+            return 0;  // gateways of the target's own region share what it bears
+        }
+        unsigned gateways = this->control.gateways_in_region();
+        double own = rule.warm_up_rate * cold_margin / gateways;
+        if (own >= 1) {
+            return static_cast<unsigned>(own);
+        }
+        std::uint64_t turn = hash_of(report.id, hash_of(this->settings.front_address, 0)) % gateways;
+        return static_cast<double>(turn) < rule.warm_up_rate * cold_margin / 2 ? 1 : 0;
+    }
+
+    void believe(const std::string& id) {
+        const auto* known = this->targets.find(id);
+        const wire::item_t* service =
+            known == nullptr ? nullptr : this->items.find(wire::item_kind::service, known->report.service);
+        bool used = service != nullptr && known->usable() && !this->evacuated.contains(known->report.zone);
+        if (!used) {
+            this->decisions.remove_target(id);
+            this->client.forget(id);
+            return;
+        }
+        time_point cold_until = known->cold_until;
+        auto taken_back = this->taken_back_at.find(known->report.zone);
+        if (taken_back != this->taken_back_at.end()) {  // nothing was sent there meanwhile
+            cold_until = std::max(cold_until, taken_back->second + ms(service->service->warm_up_ms));
+        }
+        this->decisions.set_target({id, known->report.service, known->report.region, std::max(1U, known->report.slots),
+                                    known->report.started_at_ms, known->heard_at, cold_until,
+                                    this->cold_quota(known->report, *service->service)},
+                                   this->loop.now());
+    }
+
+    void check_beliefs() {
+        time_point now = this->loop.now();
+        this->decisions.set_gateways(this->control.gateways_in_region());
+        // Without control processes nobody reports targets, and the last known ones are better than none.
+        std::size_t answering = this->control.answering(now);
+        if (answering * 2 > this->control.known()) {
+            for (const std::string& id :
+                 this->targets.expire(now, ms(this->settings.heartbeat_ms * target_silence_beats))) {
+                log_event("target_forgotten", field("target", id));
+                this->decisions.remove_target(id);
+            }
+        }
+        this->control.set_serving(this->ready());
+        this->waiting_gauge.Set(static_cast<double>(this->decisions.waiting()));
+        this->index_gauge.Set(static_cast<double>(this->items.applied()));
+        this->targets_gauge.Set(static_cast<double>(this->targets.size()));
+        this->control_gauge.Set(static_cast<double>(answering));
+        this->connections_gauge.Set(static_cast<double>(this->front.open_connections()));
+    }
+
+    bool ready() const { return !this->items.empty() && !this->is_stopping; }
+
+    // ---- Requests from clients ----
+
+    retry_budget& budget(const std::string& service) {
+        auto found = this->budgets.find(service);
+        if (found == this->budgets.end()) {
+            retry_budget_options options;
+            options.ratio = this->settings.retry_ratio;
+            options.window = ms(this->settings.retry_window_ms);
+            found = this->budgets.emplace(service, retry_budget(options)).first;
+        }
+        return found->second;
+    }
+
+    void on_request(front_request received, std::shared_ptr<front_exchange> exchange) {
+        time_point now = this->loop.now();
+        auto added = std::make_unique<request>();
+        request& entry = *added;
+        entry.id = this->next_id++;
+        entry.exchange = std::move(exchange);
+        entry.received = std::move(received);
+        entry.received_at = now;
+        const message_head& head = entry.received.head;
+        if (const std::string* attempt = head.header(this->dialect.attempt)) {
+            entry.attempt = *attempt;
+        }
+        this->requests.emplace(entry.id, std::move(added));
+        if (this->items.empty()) {
+            this->refuse(entry, "no_items", starting_retry);
+            return;
+        }
+        const std::string* host = head.header("host");
+        std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
+        const struct route* found = this->routes.find(host == nullptr ? std::string_view() : *host, path);
+        if (found == nullptr) {
+            this->end(entry, {status_not_found, {}, ""}, "no_route");
+            return;
+        }
+        const wire::route_rule_t& rule = found->rule;
+        std::string_view cookie = cookie_value(head, this->dialect.object_cookie);
+        std::uint64_t object = cookie.empty() ? 0 : hash_of(cookie, hash_of(found->name, 0));
+        std::uint64_t spread = object != 0 ? hash_of(cookie, 1) : hash_of(entry.attempt, entry.id);
+        entry.route = found->name;
+        entry.route_version = found->version;
+        entry.service = rule.parts[found->split.choose(spread)]->service;
+        entry.repeatable = rule.kind == wire::request_kind::repeatable;
+        entry.max_attempts = std::max(1U, rule.max_attempts);
+        auto stated = parse_number(head.header(this->dialect.time_left));
+        duration patience =
+            ms(static_cast<std::int64_t>(std::min<std::uint64_t>(stated.value_or(rule.timeout_ms), rule.timeout_ms)));
+        entry.ends_at = now + std::max(ms(1), patience - answer_margin);
+        entry.order = {entry.id,
+                       entry.service,
+                       rule.sticky ? object : 0,
+                       rule.priority,
+                       now + ms(rule.aim_ms),
+                       entry.ends_at,
+                       rule.regions,
+                       {}};
+        entry.end_timer = this->loop.after(entry.ends_at - now, [this, id = entry.id] { this->on_time_over(id); });
+        entry.exchange->on_gone([this, id = entry.id] { this->on_gone(id); });
+        this->budget(entry.service).request_arrived(now);
+        this->decisions.add(entry.order, now);
+        this->pump();
+    }
+
+    // ---- Targets ----
+
+    void pump() {
+        time_point now = this->loop.now();
+        for (const dispatch_action& action : this->decisions.poll(now)) {
+            auto found = this->requests.find(action.request);
+            if (found == this->requests.end()) {
+                continue;
+            }
+            if (action.target.empty()) {
+                this->refused(*found->second, action);
+            } else {
+                this->send(*found->second, action, now);
+            }
+        }
+        if (this->decisions.waiting() > 0 && this->poll_timer == 0) {
+            this->poll_timer = this->loop.after(poll_interval, [this] {
+                this->poll_timer = 0;
+                this->pump();
+            });
+        }
+    }
+
+    std::string request_text(const request& entry, const std::string& target, time_point now) const {
+        const message_head& head = entry.received.head;
+        constexpr std::size_t added_bytes = 160;
+        std::string text;
+        text.reserve(head.bytes + entry.received.body.size() + added_bytes);
+        text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
+        for (const http_header& header : head.headers) {
+            bool replaced = same_name(header.name, this->dialect.time_left) ||
+                            same_name(header.name, this->dialect.expected_target) ||
+                            same_name(header.name, "content-length") || same_name(header.name, "expect");
+            if (!replaced && !concerns_one_connection(head, header.name)) {
+                text.append(header.name).append(": ").append(header.value).append("\r\n");
+            }
+        }
+        text.append(this->dialect.time_left).append(": ");
+        text.append(std::to_string(std::max<std::int64_t>(1, (entry.ends_at - now).count()))).append("\r\n");
+        text.append(this->dialect.expected_target).append(": ").append(target).append("\r\n");
+        bool states_length =
+            !entry.received.body.empty() || head.method == "POST" || head.method == "PUT" || head.method == "PATCH";
+        if (states_length) {
+            text.append("Content-Length: ").append(std::to_string(entry.received.body.size())).append("\r\n");
+        }
+        return text.append("\r\n").append(entry.received.body);
+    }
+
+    void send(request& entry, const dispatch_action& action, time_point now) {
+        const auto* known = this->targets.find(action.target);
+        if (known == nullptr) {  // forgotten since the decision
+            this->decisions.finished(entry.id, action.target, target_result::cancelled, std::nullopt, now);
+            this->refuse(entry, "target_forgotten", starting_retry);
+            return;
+        }
+        if (entry.order.excluded.empty()) {
+            entry.first_sent_at = now;
+            this->wait_seconds.Observe(static_cast<double>((now - entry.received_at).count()) / 1000.0);
+        }
+        entry.target = action.target;
+        entry.predicted_ms = action.predicted_ms;
+        entry.order.excluded.push_back(action.target);
+        target_call call;
+        call.target = action.target;
+        call.address = ip_address::parse(known->report.address);
+        call.text = this->request_text(entry, action.target, now);
+        call.attempt_header = this->dialect.attempt;
+        call.attempt = entry.attempt;
+        call.is_head_request = entry.received.head.method == "HEAD";
+        call.fresh_only = !entry.repeatable;
+        entry.call = this->client.send(
+            std::move(call), [this, id = entry.id](target_answer answer) { this->on_answer(id, std::move(answer)); });
+    }
+
+    void on_answer(request_id id, target_answer answer) {
+        auto found = this->requests.find(id);
+        if (found == this->requests.end() || found->second->call == 0) {
+            return;  // ended meanwhile
+        }
+        request& entry = *found->second;
+        entry.call = 0;
+        time_point now = this->loop.now();
+        const message_head& head = answer.head;
+        std::optional<target_load_report> load;
+        const std::string* load_text =
+            answer.status == target_call_status::answered ? head.header(this->dialect.load) : nullptr;
+        if (load_text != nullptr) {
+            load = this->dialect.parse_load(*load_text);
+        }
+        target_result result = this->judge(answer);
+        this->decisions.finished(id, entry.target, result, load, now);
+        switch (result) {
+        case target_result::answered:
+            this->end(entry, this->passed_on(std::move(answer)), "answered");
+            break;
+        case target_result::failed:
+            ++entry.attempts;
+            entry.last_reason = "target_failed";
+            entry.failure = this->passed_on(std::move(answer));
+            this->try_again(entry, true);
+            break;
+        case target_result::lost:
+            ++entry.attempts;
+            entry.last_reason = answer.status == target_call_status::lost ? answer.reason : "answer without signature";
+            this->try_again(entry, true);
+            break;
+        case target_result::not_run:
+            ++entry.unproven_sends;
+            entry.last_reason = "target_refused_" + std::to_string(head.status);
+            if (head.status == status_misdirected) {
+                this->decisions.remove_target(entry.target);  // another target has the address now
+            }
+            this->try_again(entry, true);
+            break;
+        case target_result::unreachable:
+        case target_result::cancelled:
+            ++entry.unproven_sends;
+            entry.last_reason = answer.reason;
+            log_event("target_unreachable", field("target", entry.target), field("reason", answer.reason));
+            this->try_again(entry, false);
+            break;
+        }
+        this->pump();
+    }
+
+    target_result judge(const target_answer& answer) const {
+        if (answer.status == target_call_status::unreachable) {
+            return target_result::unreachable;
+        }
+        if (answer.status == target_call_status::lost) {
+            return target_result::lost;
+        }
+        const message_head& head = answer.head;
+        if (head.status == status_misdirected || head.header(this->dialect.not_run) != nullptr) {
+            return target_result::not_run;
+        }
+        bool success = head.status < status_multiple_choices;
+        if (success && head.header(this->dialect.signature) == nullptr) {
+            return target_result::lost;  // not the answer of a target
+        }
+        return head.status >= status_server_error ? target_result::failed : target_result::answered;
+    }
+
+    front_answer passed_on(target_answer answer) const {
+        front_answer given;
+        given.status = answer.head.status;
+        given.body = std::move(answer.body);
+        for (http_header& header : answer.head.headers) {
+            bool dropped = same_name(header.name, "content-length") || same_name(header.name, this->dialect.load) ||
+                           concerns_one_connection(answer.head, header.name);
+            if (!dropped) {
+                given.headers.push_back(std::move(header));
+            }
+        }
+        return given;
+    }
+
+    // `arrived`: the last target saw the request, so that a further one counts as a retry.
+    void try_again(request& entry, bool arrived) {
+        time_point now = this->loop.now();
+        bool may_have_run = entry.attempts > 0;
+        bool allowed = (entry.repeatable || !may_have_run) && entry.attempts < entry.max_attempts &&
+                       entry.unproven_sends < max_unproven_sends && now < entry.ends_at;
+        if (allowed && (!arrived || this->budget(entry.service).take(now))) {
+            this->retries.Increment();
+            this->decisions.add(entry.order, now);
+            return;
+        }
+        this->give_up(entry, allowed ? "retry_budget" : "no_further_attempt", starting_retry);
+    }
+
+    // ---- Ends of requests ----
+
+    void refused(request& entry, const dispatch_action& action) {
+        const char* cause = action.cause == refusal_cause::no_target  ? "no_target"
+                            : action.cause == refusal_cause::overload ? "overload"
+                                                                      : "waited_too_long";
+        this->give_up(entry, cause, action.retry_after);
+    }
+
+    // Ends a request that is at no target.
+    void give_up(request& entry, const std::string& cause, duration retry_after) {
+        if (entry.failure) {
+            this->end(entry, std::move(*entry.failure), cause);
+        } else if (entry.attempts > 0) {
+            this->end(entry, {status_bad_gateway, {}, ""}, cause);
+        } else {
+            this->refuse(entry, cause, retry_after);
+        }
+    }
+
+    void refuse(request& entry, const std::string& cause, duration retry_after) {
+        this->end(entry, {status_unavailable, {{"Retry-After", seconds_text(retry_after)}}, ""}, cause);
+    }
+
+    void on_time_over(request_id id) {
+        auto found = this->requests.find(id);
+        if (found == this->requests.end()) {
+            return;
+        }
+        request& entry = *found->second;
+        entry.end_timer = 0;
+        if (entry.call == 0 && entry.attempts == 0) {
+            this->refuse(entry, "waited_too_long", starting_retry);
+        } else if (entry.failure && entry.call == 0) {
+            this->end(entry, std::move(*entry.failure), "time_over");
+        } else {
+            this->end(entry, {status_timeout, {}, ""}, "time_over");
+        }
+        this->pump();
+    }
+
+    void on_gone(request_id id) {
+        auto found = this->requests.find(id);
+        if (found != this->requests.end()) {
+            this->forget(*found->second, 0, "client_left");
+            this->pump();
+        }
+    }
+
+    void end(request& entry, front_answer answer, const std::string& outcome) {
+        auto exchange = entry.exchange;
+        int status = answer.status;
+        this->forget(entry, status, outcome);
+        exchange->respond(std::move(answer));
+    }
+
+    // Takes the request out of all tables and cancels what is under way. `entry` is gone afterwards.
+    void forget(request& entry, int status, const std::string& outcome) {
+        time_point now = this->loop.now();
+        this->loop.cancel(entry.end_timer);
+        this->decisions.cancel(entry.id);
+        if (entry.call != 0) {
+            this->client.cancel(entry.call);
+            this->decisions.finished(entry.id, entry.target, target_result::cancelled, std::nullopt, now);
+        }
+        this->record(entry, status, outcome, now);
+        this->requests.erase(entry.id);
+    }
+
+    void record(const request& entry, int status, const std::string& outcome, time_point now) {
+        auto found = this->outcomes.find(outcome);
+        if (found == this->outcomes.end()) {
+            found = this->outcomes
+                        .emplace(outcome, &this->metrics.counter("persimmongrade_requests_total",
+                                                                 "Requests by outcome.", {{"outcome", outcome}}))
+                        .first;
+        }
+        found->second->Increment();
+        this->answer_seconds.Observe(static_cast<double>((now - entry.received_at).count()) / 1000.0);
+        bool success = outcome == "answered" && status < status_multiple_choices;
+        if (success && ++this->successes % log_one_success_in != 0) {
+            return;
+        }
+        const auto* known = this->targets.find(entry.target);
+        log_event(success ? "request" : "request_failed", field("id", entry.attempt), field("route", entry.route),
+                  field("route_version", entry.route_version), field("service", entry.service),
+                  field("outcome", outcome), field("status", status), field("reason", entry.last_reason),
+                  field("target", entry.target), field("attempts", entry.attempts),
+                  field("not_run", entry.unproven_sends), field("took_ms", (now - entry.received_at).count()),
+                  field("waited_ms", entry.order.excluded.empty() ? (now - entry.received_at).count()
+                                                                  : (entry.first_sent_at - entry.received_at).count()),
+                  field("predicted_ms", std::llround(entry.predicted_ms)),
+                  field("left_ms", (entry.ends_at - now).count()), field("waiting", this->decisions.waiting()),
+                  field("items_index", this->items.applied()),
+                  field("target_age_ms", known == nullptr ? -1 : (now - known->heard_at).count()),
+                  field("remote_share", this->decisions.remote_share(entry.service)));
+    }
+
+    // ---- Stop ----
+
+    void check_stop(time_point began, const std::function<void()>& done) {
+        duration age = this->loop.now() - began;
+        if (age >= leave_time) {
+            this->front.close_idle();
+        }
+        bool quiet = age >= leave_time && this->requests.empty() && this->front.open_connections() == 0;
+        if (quiet || age >= ms(this->settings.stop_timeout_ms) - stop_margin) {
+            log_event("stopped", field("open_requests", this->requests.size()),
+                      field("open_connections", this->front.open_connections()), field("took_ms", age.count()));
+            done();
+            return;
+        }
+        this->loop.after(stop_check_interval, [this, began, done] { this->check_stop(began, done); });
+    }
+};
+
+// ---- Public interface ----
+
+gateway::gateway(event_loop& loop, const wire::fleet_settings_t& settings, const gateway_dialect& dialect,
+                 metric_registry& metrics)
+    : state(std::make_unique<impl>(loop, settings, dialect, metrics)) {}
+
+gateway::~gateway() = default;
+
+bool gateway::ready() const {
+    return this->state->ready();
+}
+
+void gateway::reload(const wire::fleet_settings_t& settings) {
+    impl& entry = *this->state;
+    log_event("settings_reloaded", field("seeds_before", entry.settings.seeds.size()),
+              field("seeds", settings.seeds.size()), field("retry_ratio", settings.retry_ratio));
+    entry.settings.seeds = settings.seeds;
+    entry.settings.heartbeat_ms = settings.heartbeat_ms;
+    entry.settings.stop_timeout_ms = settings.stop_timeout_ms;
+    entry.settings.retry_ratio = settings.retry_ratio;
+    entry.settings.retry_window_ms = settings.retry_window_ms;
+    entry.control.set_seeds(settings.seeds);
+}
+
+void gateway::stop(std::function<void()> done) {
+    impl& entry = *this->state;
+    if (std::exchange(entry.is_stopping, true)) {
+        return;
+    }
+    log_event("stopping", field("open_requests", entry.requests.size()),
+              field("open_connections", entry.front.open_connections()));
+    entry.control.set_serving(false);
+    entry.front.close_after_answer();
+    entry.check_stop(entry.loop.now(), done);
+}
+
+}  // namespace persimmongrade
--- /dev/null
+++ b/src/inventory/item_store.cpp
@@ -0,0 +1,233 @@
+#include "persimmongrade/item_store.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace persimmongrade {
+
+namespace {
+
+constexpr std::int64_t max_aim_beyond_timeout_ms = 60000;  // an aim a minute above the time limit is a mistake
+
+std::optional<std::string> route_problem(const std::string& name, const wire::route_rule_t& route) {
+    if (static_cast<std::int64_t>(route.aim_ms) - route.timeout_ms >= max_aim_beyond_timeout_ms) {
+        return "route '" + name + "': the aim is a minute or more above the time limit";
+    }
+    double weights = 0;
+    for (const auto& part : route.parts) {
+        weights += part->weight;
+    }
+    if (!(weights > 0)) {
+        return "route '" + name + "': the weights of its services add up to 0";
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+// Only routes that would take effect must name services that are there: a late, overtaken version changes nothing.
+std::optional<std::string> item_store::problem(const wire::item_batch_t& batch) const {
+    std::set<std::string> services;
+    this->each([&](const wire::item_t& item) {
+        if (item.kind == wire::item_kind::service) {
+            services.insert(item.name);
+        }
+    });
+    std::map<item_key, const wire::item_t*> effective;
+    for (const auto& item : batch.items) {
+        item_key key{item->kind, item->name};
+        auto held = this->items.find(key);
+        bool newer = held == this->items.end() || item->version > held->second.version;
+        auto [place, first] = effective.emplace(key, item.get());
+        if (!newer) {
+            effective.erase(place);
+        } else if (!first && item->version > place->second->version) {
+            place->second = item.get();
+        }
+    }
+    bool service_removed = false;
+    for (const auto& [key, item] : effective) {
+        if (key.first != wire::item_kind::service) {
+            continue;
+        }
+        if (item->removed) {
+            service_removed = services.erase(item->name) > 0 || service_removed;
+        } else {
+            services.insert(item->name);
+        }
+    }
+    auto unknown_service = [&](const wire::item_t& item) -> std::optional<std::string> {
+        for (const auto& part : item.route->parts) {
+            if (!services.contains(part->service)) {
+                return "route '" + item.name + "' names the unknown service '" + part->service + "'";
+            }
+        }
+        return std::nullopt;
+    };
+    for (const auto& item : batch.items) {
+        if (item->route && !item->removed) {
+            if (auto reason = route_problem(item->name, *item->route)) {
+                return reason;
+            }
+        }
+    }
+    for (const auto& [key, item] : effective) {
+        if (item->route && !item->removed) {
+            if (auto reason = unknown_service(*item)) {
+                return reason;
+            }
+        }
+    }
+    if (!service_removed) {
+        return std::nullopt;
+    }
+    for (const auto& [key, item] : this->items) {  // routes that stay must not lose their service
+        if (item.route && !item.removed && !effective.contains(key)) {
+            if (auto reason = unknown_service(item)) {
+                return reason;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+bool item_store::was_accepted(std::uint64_t digest) const {
+    return this->accepted.contains(digest);
+}
+
+bool item_store::put(const wire::item_t& item, std::uint64_t index) {
+    auto [place, added] = this->items.try_emplace({item.kind, item.name});
+    if (!added && item.version <= place->second.version) {
+        return false;
+    }
+    place->second = item;
+    place->second.changed_at = index;
+    return true;
+}
+
+void item_store::remember(std::uint64_t digest, std::uint64_t index) {
+    this->accepted[digest] = index;
+    if (this->accepted.size() > max_accepted_calls) {
+        auto oldest = std::min_element(this->accepted.begin(), this->accepted.end(),
+                                       [](const auto& a, const auto& b) { return a.second < b.second; });
+        this->accepted.erase(oldest);
+    }
+}
+
+void item_store::apply(const wire::item_batch_t& batch, std::uint64_t index) {
+    for (const auto& item : batch.items) {
+        this->put(*item, index);
+    }
+    this->remember(batch.digest, index);
+    this->last_index = std::max(this->last_index, index);
+}
+
+void item_store::apply(const wire::zone_evacuation_t& evacuation, std::uint64_t index) {
+    wire::zone_evacuation_t& held = this->evacuations[evacuation.zone];
+    held = evacuation;
+    held.changed_at = index;
+    this->last_index = std::max(this->last_index, index);
+}
+
+std::vector<std::uint8_t> item_store::snapshot() const {
+    wire::fleet_state_t state;
+    for (const auto& [key, item] : this->items) {
+        state.items.push_back(std::make_unique<wire::item_t>(item));
+    }
+    for (const auto& [zone, evacuation] : this->evacuations) {
+        state.evacuations.push_back(std::make_unique<wire::zone_evacuation_t>(evacuation));
+    }
+    for (const auto& [digest, index] : this->accepted) {
+        wire::accepted_call_t call;
+        call.digest = digest;
+        call.changed_at = index;
+        state.accepted.push_back(std::make_unique<wire::accepted_call_t>(call));
+    }
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::fleet_state::Pack(builder, &state));
+    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+}
+
+// The bytes come from a snapshot file whose checksum has been verified.
+void item_store::load(const std::vector<std::uint8_t>& bytes) {
+    *this = item_store();
+    if (bytes.empty()) {
+        return;
+    }
+    std::unique_ptr<wire::fleet_state_t> state(flatbuffers::GetRoot<wire::fleet_state>(bytes.data())->UnPack());
+    for (const auto& item : state->items) {
+        this->put(*item, item->changed_at);
+        this->last_index = std::max(this->last_index, item->changed_at);
+    }
+    for (const auto& evacuation : state->evacuations) {
+        this->apply(*evacuation, evacuation->changed_at);
+    }
+    for (const auto& call : state->accepted) {
+        this->accepted[call->digest] = call->changed_at;
+        this->last_index = std::max(this->last_index, call->changed_at);
+    }
+}
+
+wire::items_delta_t item_store::changes_since(std::uint64_t index) const {
+    wire::items_delta_t delta;
+    delta.base = index;
+    delta.upto = this->last_index;
+    for (const auto& [key, item] : this->items) {
+        if (item.changed_at > index) {
+            delta.items.push_back(std::make_unique<wire::item_t>(item));
+        }
+    }
+    for (const auto& [zone, evacuation] : this->evacuations) {
+        if (evacuation.changed_at > index) {
+            delta.evacuations.push_back(std::make_unique<wire::zone_evacuation_t>(evacuation));
+        }
+    }
+    return delta;
+}
+
+bool item_store::merge(const wire::items_delta_t& delta) {
+    if (delta.base > this->last_index || delta.upto <= this->last_index) {
+        return false;
+    }
+    for (const auto& item : delta.items) {
+        this->put(*item, item->changed_at);
+    }
+    for (const auto& evacuation : delta.evacuations) {
+        auto& held = this->evacuations[evacuation->zone];
+        if (evacuation->changed_at > held.changed_at) {
+            held = *evacuation;
+        }
+    }
+    this->last_index = delta.upto;
+    return true;
+}
+
+void item_store::each(const std::function<void(const wire::item_t&)>& visit) const {
+    for (const auto& [key, item] : this->items) {
+        if (!item.removed) {
+            visit(item);
+        }
+    }
+}
+
+const wire::item_t* item_store::find(wire::item_kind kind, const std::string& name) const {
+    auto found = this->items.find({kind, name});
+    return found == this->items.end() || found->second.removed ? nullptr : &found->second;
+}
+
+bool item_store::evacuated(const std::string& zone) const {
+    auto found = this->evacuations.find(zone);
+    return found != this->evacuations.end() && found->second.active;
+}
+
+std::set<std::string> item_store::evacuated_zones() const {
+    std::set<std::string> zones;
+    for (const auto& [zone, evacuation] : this->evacuations) {
+        if (evacuation.active) {
+            zones.insert(zone);
+        }
+    }
+    return zones;
+}
+
+}  // namespace persimmongrade
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "retained.h"
+#include "persimmongrade/retained.h"
 
 namespace persimmongrade {
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <unordered_map>
 
-#include "retained.h"
+#include "persimmongrade/retained.h"
 
 namespace persimmongrade {
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,9 +7,9 @@
 #include <charconv>
 #include <utility>
 
-#include "listener.h"
+#include "persimmongrade/listener.h"
 #include "persimmongrade/error.h"
-#include "retained.h"
+#include "persimmongrade/retained.h"
 #include "server_connections.h"
 
 namespace persimmongrade {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,4 +1,4 @@
-#include "listener.h"
+#include "persimmongrade/listener.h"
 
 #include <netinet/tcp.h>
 #include <unistd.h>
@@ -47,4 +47,18 @@
     ::setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void set_liveness(h2o_socket_t* socket) {
+    constexpr int idle_seconds = 1;
+    constexpr int interval_seconds = 1;
+    constexpr int probes = 2;
+    constexpr unsigned unacknowledged_ms = 1500;  // several retransmissions between regions
+    int on = 1;
+    int descriptor = h2o_socket_get_fd(socket);
+    ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_seconds, sizeof(idle_seconds));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval_seconds, sizeof(interval_seconds));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof(unacknowledged_ms));
+}
+
 }  // namespace persimmongrade
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -11,9 +11,9 @@
 #include <map>
 #include <set>
 
-#include "listener.h"
+#include "persimmongrade/listener.h"
 #include "persimmongrade/log.h"
-#include "retained.h"
+#include "persimmongrade/retained.h"
 
 namespace persimmongrade {
 
@@ -21,7 +21,7 @@
 
 constexpr duration first_reconnect_delay = ms(20);
 constexpr duration max_reconnect_delay = ms(500);
-constexpr duration connect_timeout = ms(2000);
+constexpr duration connect_timeout = ms(700);
 
 template <typename Number>
 void append_little_endian(std::string& out, Number value) {
@@ -107,6 +107,7 @@
     void start_reading() {
         this->established = true;
         set_no_delay(this->socket);
+        set_liveness(this->socket);
         h2o_socket_read_start(this->socket, [](h2o_socket_t* sock, const char* failure) {
             auto& self = *static_cast<connection*>(sock->data);
             if (failure != nullptr) {
--- a/src/net/retained.cpp
+++ b/src/net/retained.cpp
@@ -1,4 +1,4 @@
-#include "retained.h"
+#include "persimmongrade/retained.h"
 
 #include <vector>
 
