--- /dev/null
+++ b/tests/inventory/test_targets.cpp
@@ -0,0 +1,99 @@
+// Guards what is believed of targets when reports come twice, late, out of order, or from another start.
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include "persimmongrade/target_registry.h"
+
+using namespace persimmongrade;
+
+namespace {
+
+wire::target_report_t report_of(const std::string& id, std::int64_t started, std::uint64_t sequence,
+                                wire::target_phase phase = wire::target_phase::ready,
+                                const std::string& address = "10.0.0.1:80") {
+    wire::target_report_t report;
+    report.id = id;
+    report.service = "s";
+    report.address = address;
+    report.region = "north";
+    report.zone = "north-1";
+    report.slots = 4;
+    report.phase = phase;
+    report.sequence = sequence;
+    report.started_at_ms = started;
+    return report;
+}
+
+constexpr time_point start{ms(100000)};
+
+}  // namespace
+
+TEST_CASE("a late report changes nothing") {
+    target_registry targets;
+    CHECK(targets.merge(report_of("a", 1, 5), start) == report_effect::changed);
+    CHECK(targets.merge(report_of("a", 1, 4), start + ms(10)) == report_effect::none);
+    CHECK(targets.merge(report_of("a", 1, 6), start + ms(20)) == report_effect::renewed);
+    CHECK(targets.merge(report_of("a", 1, 7, wire::target_phase::draining), start) == report_effect::changed);
+    CHECK(targets.merge(report_of("a", 1, 8), start + ms(30)) == report_effect::none);  // a start drains only once
+    CHECK_FALSE(targets.find("a")->usable());
+}
+
+TEST_CASE("a new start under the same id is a new target, and its sequence begins anew") {
+    target_registry targets;
+    targets.merge(report_of("a", 1, 900, wire::target_phase::gone), start);
+    auto again = report_of("a", 2, 1);
+    again.warm_up_left_ms = 3000;
+    CHECK(targets.merge(again, start + ms(10)) == report_effect::changed);
+    CHECK(targets.find("a")->usable());
+    CHECK(targets.find("a")->cold_until == start + ms(3010));
+    CHECK(targets.merge(report_of("a", 1, 901), start + ms(20)) == report_effect::none);
+}
+
+TEST_CASE("an address belongs to the newest start that claims it") {
+    target_registry targets;
+    targets.merge(report_of("old", 1, 5), start);
+    targets.merge(report_of("new", 2, 1), start + ms(10));
+    CHECK_FALSE(targets.find("old")->usable());
+    CHECK(targets.find("new")->usable());
+    targets.merge(report_of("old", 1, 6), start + ms(20));  // delayed by a partition
+    CHECK_FALSE(targets.find("old")->usable());
+    CHECK(targets.find("new")->usable());
+}
+
+TEST_CASE("silent targets are forgotten, and those that left are remembered longer") {
+    target_registry targets;
+    targets.merge(report_of("a", 1, 5), start);
+    targets.merge(report_of("b", 1, 5, wire::target_phase::gone, "10.0.0.2:80"), start);
+    CHECK(targets.expire(start + ms(900), ms(1000)).empty());
+    CHECK(targets.expire(start + ms(1100), ms(1000)) == std::vector<std::string>{"a"});
+    CHECK(targets.merge(report_of("b", 1, 6, wire::target_phase::ready, "10.0.0.2:80"), start + ms(1200)) ==
+          report_effect::none);
+}
+
+TEST_CASE("the order of reports does not matter") {
+    rc::prop("merge", [] {
+        std::vector<wire::target_report_t> reports;
+        auto count = *rc::gen::inRange(1, 25);
+        for (int i = 0; i < count; ++i) {
+            auto phase = static_cast<wire::target_phase>(*rc::gen::inRange(0, 3));
+            reports.push_back(report_of("a", *rc::gen::inRange(1, 4), static_cast<std::uint64_t>(i), phase));
+        }
+        target_registry in_order;
+        for (const auto& report : reports) {
+            in_order.merge(report, start);
+        }
+        auto shuffled = reports;
+        for (std::size_t i = shuffled.size(); i > 1; --i) {
+            std::swap(shuffled[i - 1], shuffled[*rc::gen::inRange<std::size_t>(0, i)]);
+        }
+        target_registry in_disorder;
+        for (const auto& report : shuffled) {
+            in_disorder.merge(report, start);
+        }
+        RC_ASSERT(in_order.find("a")->report.started_at_ms == in_disorder.find("a")->report.started_at_ms);
+        RC_ASSERT(in_order.find("a")->report.phase == in_disorder.find("a")->report.phase);
+        RC_ASSERT(in_order.find("a")->usable() == in_disorder.find("a")->usable());
+    });
+}
