Place by learned work of known, likely and unknown objects; directory on gateways; each target announced once

Cause: on the grown deployments gateways sent to full targets, because reports of load are a second old when eleven gateways share a target, and cold copies of objects spread. Renewed reports of 600 targets filled links of 5 Mbit/s. Load of other gateways is now estimated from the region's mean and the own requests; a second target is asked beside an overdue one for repeatable requests.

--- a/include/persimmongrade/gateway.h
+++ b/include/persimmongrade/gateway.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "persimmongrade/dispatcher.h"
 #include "persimmongrade/event_loop.h"
@@ -44,6 +45,8 @@
     gateway& operator=(const gateway&) = delete;
 
     bool ready() const;                                   // knows items and is not stopping
+    // For clients that ask where to connect; nearest first. Empty when no gateway is known.
+    std::vector<std::string> gateways_for(const std::string& region, const std::string& zone) const;
     void reload(const wire::fleet_settings_t& settings);  // seeds, bounds; addresses stay as at the start
     void stop(std::function<void()> done);                // clients leave first, then open requests end
 
--- a/include/persimmongrade/region_share.h
+++ b/include/persimmongrade/region_share.h
@@ -31,7 +31,8 @@
     explicit region_share(const region_share_options& options) : options(options) {}
 
     void start(double share) { this->share = share; }
-    // Utilization: running and waiting requests per slot.
+    bool due(time_point now) const { return now - this->updated_at >= update_interval; }
+    // Utilization: running and waiting requests per slot. No effect before the update is due.
     void update(time_point now, double local_utilization, double remote_utilization);
     bool is_remote(std::uint64_t hash) const;
     double value() const noexcept { return this->share; }
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -1,8 +1,9 @@
 #include "persimmongrade/dispatcher.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <utility>
 
 namespace persimmongrade {
@@ -12,11 +13,17 @@
 // ---- Learning ----
 constexpr double work_weight = 0.05;             // of one answer in the mean work of a service
 constexpr double slowness_weight = 0.2;          // of one answer in the slowness of a target
+constexpr double unanswered_weight = 0.5;  // of a request that was not answered in its time, in the slowness
 constexpr double failure_weight = 0.2;           // of one answer in the failure rate of a target
 constexpr double judgement_half_life_ms = 3000;  // a target that gets no requests is tried again
-constexpr double others_half_life_ms = 400;  // of a load report, about the time in which the load it shows is served
-constexpr double first_known_ms = 80;        // until answers tell
-constexpr double first_unknown_ms = 250;     // until answers tell
+constexpr double others_weight = 0.05;       // of one load report in the mean load of the targets of a region
+constexpr double least_half_life_ms = 200;   // of a load report; the load it shows is served within the mean work
+constexpr double prior_shape = 2;            // how much the loads of the targets of a region differ; 1 is widely
+constexpr double least_prior_load = 0.5;     // requests
+constexpr double first_others_share = 0.5;   // of the slots, used by other gateways until reports tell
+constexpr double first_work_ms = 250;        // until answers tell
+constexpr double first_known_share = 0.3;    // of the work, for a known object, until answers tell
+constexpr double slow_factor = 1.5;          // of the longest work, beyond which a target is slow for any object
 constexpr double least_slowness = 0.3;
 constexpr double most_slowness = 20;
 
@@ -25,17 +32,21 @@
 constexpr std::size_t max_objects = 64;        // remembered per target; caches of targets are of this order
 constexpr double remote_ms = 30;               // round trip to another region
 constexpr double failure_cost_ms = 1000;       // of a request that fails
-constexpr double stalled_cost_ms = 5000;       // of a target that does not answer at all
-constexpr double stalled_factor = 4;           // of the expected time, after which a target without answers is stalled
-constexpr double least_stalled_ms = 600;
+constexpr double overdue_factor = 1.5;         // of the predicted time, after which an answer is overdue
+// Targets in the region hold more than their slots: this gateway then keeps to its part, so that requests wait where
+// they can still be refused or reordered, and not in the queues of targets.
+constexpr double crowded_utilization = 0.95;
+constexpr double fair_excess = 1.15;  // of that part, since the gateways' loads differ
 constexpr double tolerated_wait_share = 0.3;      // of the work, that a request may wait in a target's own queue
-constexpr duration unreachable_retry = ms(1500);  // a target that reported itself since is used at once
+constexpr duration first_unreachable = ms(1500);  // until a target is tried again, unless it reported itself since
+constexpr duration most_unreachable = ms(4000);   // after several failures
 
 // ---- Refusal ----
 constexpr double least_retry_ms = 50;
 constexpr double most_retry_ms = 2000;
 constexpr double no_target_retry_ms = 400;
 
+constexpr duration sweep_interval = ms(20);  // between looks at all waiting requests
 constexpr std::size_t max_tried = 24;  // waiting requests of one service for which a poll looks for a target
 
 std::uint64_t mix(std::uint64_t value) {
@@ -64,13 +75,66 @@
 
 }  // namespace
 
+// ---- Work times ----
+
+double& dispatcher::work_times::mean_of(object_state state) {
+    switch (state) {
+    case object_state::known:
+        return this->known_ms;
+    case object_state::likely:
+        return this->likely_ms;
+    case object_state::unknown:
+        break;
+    }
+    return this->unknown_ms;
+}
+
+// Guesses from the other times where no answer has told yet.
+double dispatcher::work_times::expected(object_state state) const {
+    double longest = std::max({this->unknown_ms, this->likely_ms, this->known_ms});
+    double unknown = this->unknown_ms > 0 ? this->unknown_ms : longest > 0 ? longest : first_work_ms;
+    double known = this->known_ms > 0 ? this->known_ms : unknown * first_known_share;
+    switch (state) {
+    case object_state::known:
+        return known;
+    case object_state::likely: {
+        // While everything is cold, what was learned is no better than elsewhere; but the object will be there soon.
+        double between = (known + unknown) / 2;
+        return this->likely_ms > 0 ? std::min(this->likely_ms, between) : between;
+    }
+    case object_state::unknown:
+        break;
+    }
+    return unknown;
+}
+
+double dispatcher::work_times::mean() const {
+    return this->mean_ms > 0 ? this->mean_ms : this->expected(object_state::likely);
+}
+
+// The shortest that was seen; 0 as long as no answer has told.
+double dispatcher::work_times::least() const {
+    return this->mean_ms > 0 ? std::min(this->expected(object_state::known), this->mean_ms) : 0;
+}
+
 dispatcher::dispatcher(const dispatcher_options& options) : options(options), random(options.random_seed) {}
 
 // ---- Beliefs ----
 
-double dispatcher::target_state::load(time_point now) const {
-    return static_cast<double>(this->sent.size()) +
-           decayed(this->others, 0, ms_between(this->others_at, now), others_half_life_ms);
+// Requests of other gateways, from the own ones alone: where this gateway has many, the others have many, because all
+// prefer the same targets for an object. Mean of the whole load with a gamma prior around the load of the region, of
+// which the own requests are a sample.
+double dispatcher::target_state::expected_others(unsigned gateways) const {
+    double before = std::max(least_prior_load, this->region->others_per_slot * this->view.slots);
+    auto own = static_cast<double>(this->sent.size());
+    double total = (prior_shape + own) / (prior_shape / before + 1.0 / gateways);
+    return std::max(0.0, total - own) * (gateways - 1) / gateways;
+}
+
+double dispatcher::load(const target_state& target, time_point now) const {
+    return static_cast<double>(target.sent.size()) + decayed(target.others, target.expected_others(this->region_gateways),
+                                                             ms_between(target.others_at, now),
+                                                             target.region->half_life_ms);
 }
 
 dispatcher::service_state& dispatcher::service(const std::string& name) {
@@ -89,8 +153,16 @@
     }
     if (found == this->targets.end()) {
         auto added = std::make_unique<target_state>();
-        added->hash = mix(std::hash<std::string>()(target.id));
+        added->hash = XXH64(target.id.data(), target.id.size(), 0);  // the same at every gateway
         added->judged_at = now;
+        region_load& region = this->service(target.service).regions[target.region];
+        if (region.half_life_ms == 0) {
+            region.others_per_slot = first_others_share * (1 - 1.0 / this->region_gateways);
+            region.half_life_ms = least_half_life_ms;
+        }
+        added->region = &region;
+        added->others = region.others_per_slot * target.slots;
+        added->others_at = now;
         found = this->targets.emplace(target.id, std::move(added)).first;
         this->service(target.service).targets.push_back(found->second.get());
     }
@@ -98,6 +170,7 @@
     if (state.view.started_at_ms != target.started_at_ms) {
         state.objects.clear();
         state.others = 0;
+        state.others_at = now;
         state.slowness = 1;
         state.failure_rate = 0;
         state.unreachable_at.reset();
@@ -113,7 +186,11 @@
     if (found == this->targets.end()) {
         return;
     }
-    std::erase(this->service(found->second->view.service).targets, found->second.get());
+    service_state& state = this->service(found->second->view.service);
+    if (found->second->view.region == this->options.region) {
+        state.local_sent -= std::min(state.local_sent, found->second->sent.size());
+    }
+    std::erase(state.targets, found->second.get());
     this->targets.erase(found);
 }
 
@@ -139,12 +216,15 @@
     }
     slots.try_emplace(this->options.region);
     double even = total / static_cast<double>(slots.size());
-    constexpr double caution = 0.7;  // warm targets hold more than their share of the slots tells
-    state.share.start(total == 0 ? 0 : caution * std::max(0.0, 1 - slots[this->options.region] / even));
+    state.share.start(total == 0 ? 0 : std::max(0.0, 1 - slots[this->options.region] / even));
     state.share_started = total > 0;
 }
 
 void dispatcher::update_share(service_state& state, time_point now) const {
+    if (!state.share.due(now)) {
+        return;
+    }
+    double own_load = static_cast<double>(state.waiting);
     double local_load = 0;
     double local_slots = 0;
     double remote_load = 0;
@@ -154,18 +234,23 @@
             continue;
         }
         bool local = target->view.region == this->options.region;
-        (local ? local_load : remote_load) += target->load(now);
+        (local ? local_load : remote_load) += this->load(*target, now);
+        own_load += local ? static_cast<double>(target->sent.size()) : 0;
         (local ? local_slots : remote_slots) += target->view.slots;
     }
     constexpr double full = 10;
-    state.share.update(now, local_slots > 0 ? local_load / local_slots : full,
+    state.fair_slots = local_slots / this->region_gateways;
+    state.crowded = local_slots > 0 && local_load / local_slots > crowded_utilization;
+    // Reports of targets lag; the own part of the slots here tells at once whether this gateway brings too much.
+    double own_utilization = local_slots > 0 ? own_load * this->region_gateways / local_slots : full;
+    state.share.update(now, local_slots > 0 ? std::max(local_load / local_slots, own_utilization) : full,
                        remote_slots > 0 ? remote_load / remote_slots : full);
 }
 
 // ---- Placement ----
 
 bool dispatcher::usable(const target_state& target, const dispatch_request& request, time_point now) const {
-    if (target.unreachable_at && now < *target.unreachable_at + unreachable_retry) {
+    if (target.unreachable_at && now < *target.unreachable_at + target.unreachable_for) {
         return false;
     }
     return !contains(request.excluded, target.view.id) &&
@@ -175,32 +260,28 @@
 double dispatcher::answer_ms(const service_state& state, const target_state& target, const dispatch_request& request,
                              unsigned rank, time_point now, candidate& result) const {
     const work_times& work = state.work;
-    double known = work.known_ms > 0 ? work.known_ms : first_known_ms;
-    double unknown = work.unknown_ms > 0 ? work.unknown_ms : first_unknown_ms;
     auto seen = target.objects.find(request.object);
-    result.known_object = request.object != 0 && seen != target.objects.end() && now - seen->second < object_memory;
-    double expected = unknown;
-    if (result.known_object) {
-        expected = known;
+    if (request.object != 0 && seen != target.objects.end() && now - seen->second < object_memory) {
+        result.object = object_state::known;
     } else if (request.object != 0 && rank == 0) {
-        expected = (known + unknown) / 2;  // another gateway may have sent it there
+        result.object = object_state::likely;  // other gateways send it there
     }
+    double expected = work.expected(result.object);
     double age = ms_between(target.judged_at, now);
     double slowness = decayed(target.slowness, 1, age, judgement_half_life_ms);
     double failures = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
-    double mean = work.mean_ms > 0 ? work.mean_ms : (known + unknown) / 2;
-    double beyond = target.load(now) + 1 - target.view.slots;
+    double mean = work.mean();
+    double beyond = this->load(target, now) + 1 - target.view.slots;
     result.wait_ms = std::max(0.0, beyond) / target.view.slots * mean * slowness;
     double distance = target.view.region == this->options.region ? 0 : remote_ms;
     double total = result.wait_ms + expected * slowness + distance + failures * failure_cost_ms;
+    // A target that turned slow or silent shows it by what it has not answered, long before it answers.
+    double overdue = 1;
     for (const auto& [id, sent] : target.sent) {
-        double limit = std::max(least_stalled_ms, stalled_factor * (unknown * slowness));
-        if (sent.sent_at > target.answered_at && ms_between(sent.sent_at, now) > limit) {
-            total += stalled_cost_ms;
-            break;
-        }
+        double ratio = ms_between(sent.sent_at, now) / std::max(1.0, sent.predicted_ms);
+        overdue = std::max(overdue, ratio > overdue_factor ? ratio : 1);
     }
-    return total;
+    return total * overdue;
 }
 
 dispatcher::candidate dispatcher::best_target(service_state& state, const dispatch_request& request, time_point now) {
@@ -253,8 +334,7 @@
 
 dispatcher::queue_key dispatcher::key_of(const dispatch_request& request, const service_state& state,
                                          time_point now) const {
-    double work = state.work.known_ms > 0 ? state.work.known_ms : first_known_ms;
-    bool late = ms_between(now, request.aim_at) < work;
+    bool late = ms_between(now, request.aim_at) < state.work.expected(object_state::known);
     std::int64_t order = late ? -request.deadline_at.time_since_epoch().count()  // the newest has the most time left
                               : request.aim_at.time_since_epoch().count();
     return {request.service, request.priority, late, order, request.id};
@@ -278,14 +358,14 @@
     constexpr double remote_part = 0.25;  // gateways of other regions use the rest
     double share = state.share.value();
     double slots = local_slots / this->region_gateways + share * remote_part * remote_slots / this->region_gateways;
-    double mean = state.work.mean_ms > 0 ? state.work.mean_ms : first_unknown_ms;
+    double mean = state.work.mean();
     return slots > 0 ? ahead * mean / slots : most_retry_ms;
 }
 
 dispatch_action dispatcher::refuse(const dispatch_request& request, refusal_cause cause, double wait_ms) {
     double spread = std::uniform_real_distribution<double>(0.5, 1.5)(this->random);
     double retry = std::clamp(wait_ms * spread, least_retry_ms, most_retry_ms);
-    return {request.id, {}, cause, ms(std::llround(retry)), wait_ms, false};
+    return {request.id, {}, cause, ms(std::llround(retry)), wait_ms, object_state::unknown};
 }
 
 void dispatcher::add(const dispatch_request& request, time_point now) {
@@ -300,7 +380,7 @@
         this->refused_on_arrival.push_back(this->refuse(request, refusal_cause::no_target, no_target_retry_ms));
         return;
     }
-    double known = state.work.known_ms > 0 ? state.work.known_ms : 0;
+    double known = state.work.least();
     double wait = this->queue_wait_ms(state, request, now);
     if (wait + known > left) {
         this->refused_on_arrival.push_back(this->refuse(request, refusal_cause::overload, wait));
@@ -309,18 +389,41 @@
     queue_key key = this->key_of(request, state, now);
     this->queue.emplace(key, request);
     this->places.emplace(request.id, key);
+    ++state.waiting;
 }
 
 void dispatcher::cancel(request_id id) {
     auto found = this->places.find(id);
     if (found != this->places.end()) {
+        --this->service(found->second.service).waiting;
         this->queue.erase(found->second);
         this->places.erase(found);
     }
 }
 
+// Refuses those behind the ones that poll() looks at, as soon as no answer in time is possible.
+void dispatcher::refuse_hopeless(time_point now, std::vector<dispatch_action>& actions) {
+    if (now - this->swept_at < sweep_interval) {
+        return;
+    }
+    this->swept_at = now;
+    for (auto place = this->queue.begin(); place != this->queue.end();) {
+        const dispatch_request& request = place->second;
+        service_state& state = this->service(request.service);
+        if (ms_between(now, request.deadline_at) >= state.work.least()) {
+            ++place;
+            continue;
+        }
+        actions.push_back(this->refuse(request, refusal_cause::too_late, state.work.mean_ms));
+        this->places.erase(request.id);
+        --state.waiting;
+        place = this->queue.erase(place);
+    }
+}
+
 std::vector<dispatch_action> dispatcher::poll(time_point now) {
     std::vector<dispatch_action> actions = std::exchange(this->refused_on_arrival, {});
+    this->refuse_hopeless(now, actions);
     std::vector<std::pair<queue_key, dispatch_request>> turned_late;
     std::string current;
     std::size_t tried = 0;
@@ -336,13 +439,6 @@
             place = this->queue.lower_bound(queue_key{.service = current + '\0'});
             continue;
         }
-        double known = state.work.known_ms > 0 ? state.work.known_ms : 0;
-        if (ms_between(now, request.deadline_at) < known) {
-            actions.push_back(this->refuse(request, refusal_cause::too_late, this->queue_wait_ms(state, request, now)));
-            this->places.erase(request.id);
-            place = this->queue.erase(place);
-            continue;
-        }
         queue_key key = this->key_of(request, state, now);
         if (key.late != place->first.late) {
             turned_late.emplace_back(key, request);
@@ -350,7 +446,12 @@
             continue;
         }
         candidate best = this->best_target(state, request, now);
-        double mean = state.work.mean_ms > 0 ? state.work.mean_ms : first_unknown_ms;
+        double mean = state.work.mean();
+        bool local = best.target != nullptr && best.target->view.region == this->options.region;
+        if (local && state.crowded && static_cast<double>(state.local_sent) >= fair_excess * state.fair_slots + 1) {
+            ++place;
+            continue;
+        }
         if (best.target == nullptr || best.wait_ms > tolerated_wait_share * mean) {
             ++place;
             continue;
@@ -359,10 +460,12 @@
         if (now < target.view.cold_until) {
             target.cold_sends.add(now);
         }
-        bool free = target.load(now) < target.view.slots;
-        target.sent[request.id] = {now, request.object, best.known_object, free};
-        actions.push_back({request.id, target.view.id, refusal_cause::none, {}, best.answer_ms, best.known_object});
+        bool free = this->load(target, now) < target.view.slots;
+        state.local_sent += local ? 1 : 0;
+        target.sent[request.id] = {now, request.object, best.answer_ms, best.object, free};
+        actions.push_back({request.id, target.view.id, refusal_cause::none, {}, best.answer_ms, best.object});
         this->places.erase(request.id);
+        --state.waiting;
         place = this->queue.erase(place);
     }
     for (auto& [key, request] : turned_late) {
@@ -378,14 +481,21 @@
     double took = std::max(1.0, took_ms - distance);
     work_times& work = state.work;
     average(work.mean_ms, took, work_weight);
-    double& mean = sent.known_object ? work.known_ms : work.unknown_ms;
+    target.region->half_life_ms = std::max(least_half_life_ms, work.mean_ms);
     if (sent.slot_was_free && now >= target.view.cold_until) {
+        double& mean = work.mean_of(sent.state);
         average(mean, took, work_weight);
-        double age = ms_between(target.judged_at, now);
-        double before = decayed(target.slowness, 1, age, judgement_half_life_ms);
-        target.slowness = std::clamp(before + (took / mean - before) * slowness_weight, least_slowness, most_slowness);
-        target.failure_rate = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
-        target.judged_at = now;
+        // Whether an object was warm is certain only for a known one; others tell nothing about the target's speed.
+        bool comparable = sent.state == object_state::known || sent.object == 0;
+        bool slow = took > slow_factor * work.expected(object_state::unknown);
+        if (comparable || slow) {
+            double age = ms_between(target.judged_at, now);
+            double before = decayed(target.slowness, 1, age, judgement_half_life_ms);
+            double ratio = took / (comparable ? mean : work.expected(object_state::unknown));
+            target.slowness = std::clamp(before + (ratio - before) * slowness_weight, least_slowness, most_slowness);
+            target.failure_rate = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
+            target.judged_at = now;
+        }
     }
     if (sent.object != 0) {
         target.objects[sent.object] = now;
@@ -417,19 +527,23 @@
     }
     sent_request sent = place->second;
     target.sent.erase(place);
+    service_state& state = this->service(target.view.service);
+    state.local_sent -= target.view.region == this->options.region && state.local_sent > 0 ? 1 : 0;
     if (load) {
         target.others =
             std::max(0.0, static_cast<double>(load->running + load->waiting) - static_cast<double>(target.sent.size()));
+        average(target.region->others_per_slot, target.others / target.view.slots, others_weight);
         target.others_at = now;
         if (load->slots > 0) {
             target.view.slots = load->slots;
         }
     }
-    service_state& state = this->service(target.view.service);
+    if (result != target_result::unreachable && result != target_result::cancelled) {
+        target.unreachable_at.reset();
+    }
     double age = ms_between(target.judged_at, now);
     bool failed = result == target_result::failed || result == target_result::lost;
     if (failed || result == target_result::answered || result == target_result::not_run) {
-        target.answered_at = now;
         double weight = result == target_result::not_run ? failure_weight / 2 : failure_weight;
         double before = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
         double sample = result == target_result::answered ? 0 : 1;
@@ -437,9 +551,21 @@
         target.failure_rate = before + (sample - before) * weight;
         target.judged_at = now;
     }
+    if (result == target_result::cancelled) {
+        // Its time was over: the work takes at least this long there.
+        double least = ms_between(sent.sent_at, now) / std::max(1.0, sent.predicted_ms);
+        double slowness = decayed(target.slowness, 1, age, judgement_half_life_ms);
+        if (least > slowness && least > overdue_factor) {
+            target.slowness = std::min(most_slowness, slowness + (least - slowness) * unanswered_weight);
+            target.failure_rate = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
+            target.judged_at = now;
+        }
+    }
     if (result == target_result::answered) {
         this->learn(state, target, sent, ms_between(sent.sent_at, now), now);
     } else if (result == target_result::unreachable) {
+        bool again = target.unreachable_at.has_value();
+        target.unreachable_for = again ? std::min(most_unreachable, target.unreachable_for * 2) : first_unreachable;
         target.unreachable_at = now;
     } else if (result == target_result::not_run) {
         target.others = std::max(target.others, target.view.slots - static_cast<double>(target.sent.size()));
--- a/src/admission/region_share.cpp
+++ b/src/admission/region_share.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 void region_share::update(time_point now, double local_utilization, double remote_utilization) {
-    if (now - this->updated_at < update_interval) {
+    if (!this->due(now)) {
         return;
     }
     this->updated_at = now;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -299,6 +299,7 @@
     reader.require("zone", settings.zone);
     reader.require_address("peer_address", settings.peer_address);
     reader.require_address("metrics_address", settings.metrics_address);
+    reader.require_address("entry_http_address", settings.entry_http_address);
     reader.require_addresses("seeds", settings.seeds);
     bool own_zone = false;
     reader.each("zones", true, [&](mapping_reader& item) {
@@ -330,7 +331,6 @@
     mapping_reader reader(file, load_file(file), "");
     wire::fleet_settings_t settings = read_fleet(file, reader);
     reader.require_address("control_http_address", settings.control_http_address);
-    reader.require_address("entry_http_address", settings.entry_http_address);
     reader.require("data_directory", settings.data_directory);
     reader.optional("bootstrap", settings.bootstrap);
     reader.optional("lost_disks", settings.lost_disks, 0, 10);
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -11,6 +11,7 @@
 #include "persimmongrade/address.h"
 #include "persimmongrade/consensus_driver.h"
 #include "persimmongrade/event_log.h"
+#include "persimmongrade/gateway_list.h"
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/target_registry.h"
 
@@ -25,14 +26,14 @@
 constexpr duration join_interval = ms(300);
 constexpr duration lost_voter_age = ms(1500);  // silence after which a waiting process may take a voter's place
 constexpr duration session_tick = ms(100);
-constexpr duration report_batch_interval = ms(200);
+constexpr duration announce_delay = ms(25);        // gathers the reports of many targets that start together
 constexpr duration gateway_silence = ms(1200);  // four missed pings
 constexpr duration gateway_memory = ms(10000);  // gateways counted for shares of what all of them may use
 constexpr duration resend_after = ms(400);
 constexpr duration storage_retry_interval = ms(300);
 constexpr duration order_timeout = ms(3000);
 constexpr std::size_t max_targets_per_message = 200;
-constexpr int target_silence_beats = 8;  // missed reports after which a target is forgotten
+constexpr double target_silence_beats = 3.5;  // missed reports after which a target counts as silent
 
 using item_batch_pointer = std::unique_ptr<wire::item_batch_t>;
 
@@ -82,7 +83,10 @@
     std::deque<order> waiting;                     // one is in the log at a time, so that each is checked against
     std::optional<std::pair<std::uint64_t, std::uint64_t>> proposed;  // the state before it: index and term
     std::map<std::string, session> sessions;                          // by gateway id
-    std::vector<std::string> renewed;                                 // target ids to be sent with the next batch
+    std::map<std::string, time_point> reporting;                      // last report, by id of targets that report here
+    std::set<std::string> announced;                                  // target ids to be sent with the next message
+    std::vector<wire::gateway_info_t> gateways;                       // that take clients now
+    std::uint64_t gateways_version = 0;
     std::map<std::string, time_point> heard_members;
     bool is_stopping = false;
     bool had_leader = false;
@@ -120,7 +124,7 @@
         loop.every(consensus_tick, [this] { this->tick(); });
         loop.every(join_interval, [this] { this->ask_to_join(); });
         loop.every(session_tick, [this] { this->check_sessions(); });
-        loop.every(report_batch_interval, [this] { this->send_renewed(); });
+        loop.every(announce_delay, [this] { this->send_announced(); });
         loop.every(storage_retry_interval, [this] { this->reopen_failed_log(); });
     }
 
@@ -301,7 +305,7 @@
             this->on_ping(envelope.from, *ping);
         } else if (const auto* reports = envelope.body.Astarget_reports()) {
             for (const auto& report : reports->reports) {
-                this->merge_report(*report, false);
+                this->merge_report(*report);
             }
         } else if (const auto* request = envelope.body.Asjoin_request()) {
             this->answer_join(envelope.from, *request);
@@ -448,6 +452,10 @@
             log_event("gateway", field("id", from), field("address", ping.address), field("serving", ping.serving),
                       field("applied", ping.applied));
         }
+        if (was_serving != ping.serving) {
+            this->update_gateways();
+        }
+        this->answer_ping(from, ping);
         bool lost_items = ping.applied < known.items_sent && now - known.items_sent_at > resend_after;
         if (lost_items || known.items_sent < ping.applied) {
             known.items_sent = ping.applied;
@@ -459,6 +467,9 @@
             this->send_all_reports(from, known);
         }
         known.new_session = false;
+    }
+
+    void answer_ping(const std::string& from, const wire::gateway_ping_t& ping) {
         wire::gateway_pong_t pong;
         pong.sequence = ping.sequence;
         pong.address = this->settings.peer_address;
@@ -467,6 +478,12 @@
         pong.region_gateways = static_cast<std::uint32_t>(
             std::count_if(this->sessions.begin(), this->sessions.end(),
                           [&](const auto& entry) { return entry.second.ping.region == ping.region; }));
+        pong.gateways_version = this->gateways_version;
+        if (ping.gateways_version != this->gateways_version) {
+            for (const auto& gateway : this->gateways) {
+                pong.gateways.push_back(std::make_unique<wire::gateway_info_t>(gateway));
+            }
+        }
         this->peers.send(from, pong);
     }
 
@@ -493,12 +510,15 @@
         this->peers.send(id, std::move(message));
     }
 
+    // Every target reports to one control process, so that a gateway learns each of them once.
     void send_all_reports(const std::string& id, session& known) {
         std::vector<wire::target_report_t> reports;
         this->targets.each([&](const target_registry::entry& target) {
-            reports.push_back(this->targets.aged(target, this->loop.now()));
+            if (!target.usable() || this->reporting.contains(target.report.id)) {
+                reports.push_back(this->targets.aged(target, this->loop.now()));
+            }
         });
-        for (std::size_t i = 0; i < reports.size(); i += max_targets_per_message) {
+        for (std::size_t i = 0; i == 0 || i < reports.size(); i += max_targets_per_message) {
             auto first = reports.begin() + static_cast<std::ptrdiff_t>(i);
             auto last =
                 reports.begin() + static_cast<std::ptrdiff_t>(std::min(reports.size(), i + max_targets_per_message));
@@ -506,12 +526,12 @@
         }
     }
 
-    void send_renewed() {
-        if (this->renewed.empty()) {
+    void send_announced() {
+        if (this->announced.empty()) {
             return;
         }
         std::vector<wire::target_report_t> reports;
-        for (const std::string& id : std::exchange(this->renewed, {})) {
+        for (const std::string& id : std::exchange(this->announced, {})) {
             if (const auto* known = this->targets.find(id)) {
                 reports.push_back(this->targets.aged(*known, this->loop.now()));
             }
@@ -519,6 +539,35 @@
         for (auto& [id, known] : this->sessions) {
             this->send_reports(id, known, reports, false);
         }
+        for (const auto& [id, address] : this->connected) {
+            wire::target_reports_t message;
+            for (const auto& report : reports) {
+                if (this->reporting.contains(report.id) || report.phase != wire::target_phase::ready) {
+                    message.reports.push_back(std::make_unique<wire::target_report_t>(report));
+                }
+            }
+            this->peers.send(id, std::move(message));
+        }
+    }
+
+    // The list for the directory, from gateways that said lately that they take clients.
+    void update_gateways() {
+        time_point now = this->loop.now();
+        std::vector<wire::gateway_info_t> serving;
+        for (const auto& [id, known] : this->sessions) {
+            if (known.ping.serving && now - known.heard_at <= gateway_silence) {
+                wire::gateway_info_t info;
+                info.address = known.ping.address;
+                info.region = known.ping.region;
+                info.zone = known.ping.zone;
+                serving.push_back(info);
+            }
+        }
+        if (serving != this->gateways) {
+            this->gateways = std::move(serving);
+            ++this->gateways_version;
+            log_event("gateways", field("serving", this->gateways.size()), field("version", this->gateways_version));
+        }
     }
 
     void check_sessions() {
@@ -530,8 +579,9 @@
             }
             return silent;
         });
-        for (const std::string& id :
-             this->targets.expire(now, ms(this->settings.heartbeat_ms * target_silence_beats))) {
+        this->update_gateways();
+        this->find_silent_targets(now);
+        for (const std::string& id : this->targets.expire(now)) {
             log_event("target_forgotten", field("target", id));
         }
         this->propose_next();
@@ -542,29 +592,46 @@
 
     // ---- Targets ----
 
-    report_effect merge_report(const wire::target_report_t& report, bool first_hand) {
-        time_point now = this->loop.now();
-        report_effect effect = this->targets.merge(report, now);
+    void log_target(const target_registry::entry& known, const char* source) const {
+        const wire::target_report_t& report = known.report;
+        log_event("target", field("target", report.id), field("service", report.service),
+                  field("address", report.address), field("phase", wire::EnumNametarget_phase(report.phase)),
+                  field("silent", report.silent), field("superseded", known.superseded),
+                  field("started_at", report.started_at_ms), field("sequence", report.sequence),
+                  field("warm_up_left_ms", report.warm_up_left_ms), field("source", source));
+    }
+
+    // From another control process, to which the target reports now.
+    void merge_report(const wire::target_report_t& report) {
+        report_effect effect = this->targets.merge(report, this->loop.now());
+        if (effect != report_effect::none) {
+            this->reporting.erase(report.id);
+        }
         if (effect == report_effect::changed) {
-            const auto* known = this->targets.find(report.id);
-            log_event("target", field("target", report.id), field("service", known->report.service),
-                      field("address", known->report.address), field("phase", wire::EnumNametarget_phase(report.phase)),
-                      field("started_at", known->report.started_at_ms), field("sequence", report.sequence),
-                      field("warm_up_left_ms", report.warm_up_left_ms), field("first_hand", first_hand));
-            for (auto& [id, gateway] : this->sessions) {
-                this->send_reports(id, gateway, {this->targets.aged(*known, now)}, false);
+            this->log_target(*this->targets.find(report.id), "control");
+            this->announced.insert(report.id);
+        }
+    }
+
+    void find_silent_targets(time_point now) {
+        auto limit = ms(static_cast<std::int64_t>(this->settings.heartbeat_ms * target_silence_beats));
+        for (auto place = this->reporting.begin(); place != this->reporting.end();) {
+            if (now - place->second <= limit) {
+                ++place;
+                continue;
             }
-            if (first_hand) {
-                for (const auto& [id, address] : this->connected) {
-                    wire::target_reports_t message;
-                    message.reports.push_back(std::make_unique<wire::target_report_t>(this->targets.aged(*known, now)));
-                    this->peers.send(id, std::move(message));
-                }
+            const auto* known = this->targets.find(place->first);
+            if (known != nullptr && known->usable()) {
+                wire::target_report_t silent = this->targets.aged(*known, now);
+                silent.silent = true;
+                this->targets.merge(silent, now);
+                this->log_target(*known, "silence");
+                this->announced.insert(place->first);
+                ++place;
+                continue;
             }
-        } else if (effect == report_effect::renewed && first_hand) {
-            this->renewed.push_back(report.id);
+            place = this->reporting.erase(place);
         }
-        return effect;
     }
 
     bool report(wire::target_report_t report) {
@@ -577,7 +644,19 @@
                 report.sequence = std::max(report.sequence, known->report.sequence + 1);
             }
         }
-        this->merge_report(report, true);
+        time_point now = this->loop.now();
+        std::string id = report.id;
+        report_effect effect = this->targets.merge(report, now);
+        bool reported_elsewhere = this->reporting.insert_or_assign(id, now).second;
+        if (effect == report_effect::changed) {
+            this->log_target(*this->targets.find(id), "target");
+        }
+        if (effect == report_effect::changed || (effect == report_effect::renewed && reported_elsewhere)) {
+            this->announced.insert(id);
+        }
+        if (leaves) {
+            this->send_announced();  // before the acknowledgement
+        }
         bool recorded = !leaves || !this->log.leader_id().empty();
         (recorded ? this->reports_received : this->reports_refused).Increment();
         return recorded;
@@ -626,17 +705,7 @@
 }
 
 std::vector<std::string> fleet_control::gateways_for(const std::string& region, const std::string& zone) const {
-    std::vector<std::string> near;
-    std::vector<std::string> far;
-    time_point now = this->state->loop.now();
-    for (const auto& [id, known] : this->state->sessions) {
-        if (known.ping.serving && now - known.heard_at <= gateway_silence) {
-            bool in_region = known.ping.region == region;
-            auto& list = in_region ? near : far;
-            list.insert(known.ping.zone == zone ? list.begin() : list.end(), known.ping.address);
-        }
-    }
-    return near.empty() ? far : near;
+    return nearest_gateways(this->state->gateways, region, zone);
 }
 
 void fleet_control::stop(std::function<void()> done) {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -78,6 +78,29 @@
     }));
 }
 
+std::vector<wire::gateway_info_t> control_link::gateways(time_point now) const {
+    std::map<std::string, std::pair<std::size_t, const wire::gateway_info_t*>> votes;  // by address
+    std::size_t voters = 0;
+    for (const auto& [address, known] : this->contacts) {
+        if (!known.in_touch || now - known.answered_at > silence) {
+            continue;
+        }
+        ++voters;
+        for (const auto& gateway : known.gateways) {
+            auto& vote = votes[gateway.address];
+            ++vote.first;
+            vote.second = &gateway;
+        }
+    }
+    std::vector<wire::gateway_info_t> agreed;
+    for (const auto& [address, vote] : votes) {
+        if (vote.first * 2 >= voters) {
+            agreed.push_back(*vote.second);
+        }
+    }
+    return agreed;
+}
+
 void control_link::ping(const std::string& address, contact& to) {
     wire::gateway_ping_t message;
     message.address = this->settings.front_address;
@@ -87,6 +110,7 @@
     message.applied = this->items.applied();
     message.sequence = ++this->sequence;
     message.reports_number = to.reports_number;
+    message.gateways_version = to.gateways_version;
     this->peers.send(address, message);
 }
 
@@ -147,8 +171,16 @@
         this->addresses.erase(known.id);
         known.id = from;
         known.reports_number = 0;
+        known.gateways_version = 0;
         this->addresses[from] = pong.address;
     }
+    if (pong.gateways_version != known.gateways_version) {
+        known.gateways_version = pong.gateways_version;
+        known.gateways.clear();
+        for (const auto& gateway : pong.gateways) {
+            known.gateways.push_back(*gateway);
+        }
+    }
     if (!known.in_touch) {
         known.in_touch = true;
         log_event("control_regained", field("control", pong.address), field("id", from),
@@ -175,6 +207,7 @@
         if (effect == report_effect::changed) {
             log_event("target", field("target", report->id), field("service", report->service),
                       field("address", report->address), field("phase", wire::EnumNametarget_phase(report->phase)),
+                      field("silent", report->silent),
                       field("started_at", report->started_at_ms), field("sequence", report->sequence),
                       field("warm_up_left_ms", report->warm_up_left_ms), field("age_ms", report->age_ms));
         }
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -36,6 +36,8 @@
     unsigned gateways_in_region() const;          // the most that any control process counts lately
     std::size_t answering(time_point now) const;  // control processes that answered lately
     std::size_t known() const noexcept { return this->contacts.size(); }
+    // Gateways that take clients, as at least half of the control processes in touch see it.
+    std::vector<wire::gateway_info_t> gateways(time_point now) const;
 
 private:
     struct contact {
@@ -44,6 +46,8 @@
         std::string id;  // of the process, from its last answer
         std::uint64_t reports_number = 0;
         unsigned region_gateways = 1;
+        std::uint64_t gateways_version = 0;
+        std::vector<wire::gateway_info_t> gateways;
         bool in_touch = false;
     };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 #include "control_link.h"
 #include "front_server.h"
 #include "persimmongrade/event_log.h"
+#include "persimmongrade/gateway_list.h"
 #include "persimmongrade/retry_budget.h"
 #include "route_table.h"
 #include "target_client.h"
@@ -34,10 +35,11 @@
 constexpr duration answer_margin = ms(8);  // an answer must reach the client before its time is over
 constexpr duration belief_check_interval = ms(500);
 constexpr duration starting_retry = ms(300);  // until items are known
+constexpr double hedge_factor = 3;                 // of the predicted time, after which a second target is asked
+constexpr double least_hedge_ms = 120;             // less is within the spread of work and delays
 constexpr unsigned max_unproven_sends = 6;    // to targets that did not run the request, beside the attempts
 constexpr unsigned log_one_success_in = 64;
 constexpr double cold_margin = 0.8;        // of the rate that a cold target bears: counts are spread over links
-constexpr int target_silence_beats = 5;    // missed reports after which a target is not used
 constexpr duration leave_time = ms(2500);  // clients have asked the directory again by then
 constexpr duration stop_check_interval = ms(50);
 constexpr duration stop_margin = ms(300);              // before the process is killed
@@ -88,6 +90,11 @@
 // ---- State ----
 
 struct gateway::impl {
+    struct flight {
+        call_id call = 0;
+        std::string target;
+    };
+
     struct request {
         request_id id = 0;
         std::shared_ptr<front_exchange> exchange;
@@ -105,8 +112,9 @@
         timer_id end_timer = 0;
         unsigned attempts = 0;        // targets that may have run it
         unsigned unproven_sends = 0;  // targets that did not
-        call_id call = 0;             // 0: not at a target now
-        std::string target;
+        std::vector<flight> flights;  // at targets now; two while a second target is tried beside a slow one
+        timer_id hedge_timer = 0;
+        std::string target;  // the last one
         double predicted_ms = 0;
         std::optional<front_answer> failure;  // of a target, passed on when nothing better comes
         std::string last_reason;
@@ -249,14 +257,10 @@
     void check_beliefs() {
         time_point now = this->loop.now();
         this->decisions.set_gateways(this->control.gateways_in_region());
-        // Without control processes nobody reports targets, and the last known ones are better than none.
         std::size_t answering = this->control.answering(now);
-        if (answering * 2 > this->control.known()) {
-            for (const std::string& id :
-                 this->targets.expire(now, ms(this->settings.heartbeat_ms * target_silence_beats))) {
-                log_event("target_forgotten", field("target", id));
-                this->decisions.remove_target(id);
-            }
+        for (const std::string& id : this->targets.expire(now)) {
+            log_event("target_forgotten", field("target", id));
+            this->decisions.remove_target(id);
         }
         this->control.set_serving(this->ready());
         this->waiting_gauge.Set(static_cast<double>(this->decisions.waiting()));
@@ -385,7 +389,7 @@
         const auto* known = this->targets.find(action.target);
         if (known == nullptr) {  // forgotten since the decision
             this->decisions.finished(entry.id, action.target, target_result::cancelled, std::nullopt, now);
-            this->refuse(entry, "target_forgotten", starting_retry);
+            this->give_up(entry, "target_forgotten", starting_retry);
             return;
         }
         if (entry.order.excluded.empty()) {
@@ -403,17 +407,48 @@
         call.attempt = entry.attempt;
         call.is_head_request = entry.received.head.method == "HEAD";
         call.fresh_only = !entry.repeatable;
-        entry.call = this->client.send(
-            std::move(call), [this, id = entry.id](target_answer answer) { this->on_answer(id, std::move(answer)); });
+        call_id sent = this->client.send(
+            std::move(call), [this, id = entry.id, target = action.target](target_answer answer) {
+                this->on_answer(id, target, std::move(answer));
+            });
+        entry.flights.push_back({sent, action.target});
+        this->loop.cancel(std::exchange(entry.hedge_timer, 0));
+        if (entry.repeatable && entry.attempts + entry.flights.size() < entry.max_attempts) {
+            auto wait = ms(std::llround(std::max(least_hedge_ms, hedge_factor * action.predicted_ms)));
+            entry.hedge_timer = this->loop.after(wait, [this, id = entry.id] { this->try_beside(id); });
+        }
+    }
+
+    // Asks a second target while the first one is overdue. The first answer counts.
+    void try_beside(request_id id) {
+        auto found = this->requests.find(id);
+        if (found == this->requests.end()) {
+            return;
+        }
+        request& entry = *found->second;
+        entry.hedge_timer = 0;
+        time_point now = this->loop.now();
+        bool useful = !entry.flights.empty() && now + ms(std::llround(least_hedge_ms)) < entry.ends_at;
+        if (useful && this->budget(entry.service).take(now)) {
+            this->retries.Increment();
+            this->decisions.add(entry.order, now);
+            this->pump();
+        }
     }
 
-    void on_answer(request_id id, target_answer answer) {
+    void on_answer(request_id id, const std::string& target, target_answer answer) {
         auto found = this->requests.find(id);
-        if (found == this->requests.end() || found->second->call == 0) {
+        if (found == this->requests.end()) {
             return;  // ended meanwhile
         }
         request& entry = *found->second;
-        entry.call = 0;
+        auto landed = std::find_if(entry.flights.begin(), entry.flights.end(),
+                                   [&](const flight& open) { return open.target == target; });
+        if (landed == entry.flights.end()) {
+            return;
+        }
+        entry.flights.erase(landed);
+        entry.target = target;
         time_point now = this->loop.now();
         const message_head& head = answer.head;
         std::optional<target_load_report> load;
@@ -493,6 +528,9 @@
     // `arrived`: the last target saw the request, so that a further one counts as a retry.
     void try_again(request& entry, bool arrived) {
         time_point now = this->loop.now();
+        if (!entry.flights.empty()) {
+            return;  // the other target may still answer
+        }
         bool may_have_run = entry.attempts > 0;
         bool allowed = (entry.repeatable || !may_have_run) && entry.attempts < entry.max_attempts &&
                        entry.unproven_sends < max_unproven_sends && now < entry.ends_at;
@@ -513,8 +551,11 @@
         this->give_up(entry, cause, action.retry_after);
     }
 
-    // Ends a request that is at no target.
+    // Ends a request, unless a target may still answer it.
     void give_up(request& entry, const std::string& cause, duration retry_after) {
+        if (!entry.flights.empty()) {
+            return;
+        }
         if (entry.failure) {
             this->end(entry, std::move(*entry.failure), cause);
         } else if (entry.attempts > 0) {
@@ -535,9 +576,9 @@
         }
         request& entry = *found->second;
         entry.end_timer = 0;
-        if (entry.call == 0 && entry.attempts == 0) {
+        if (entry.flights.empty() && entry.attempts == 0) {
             this->refuse(entry, "waited_too_long", starting_retry);
-        } else if (entry.failure && entry.call == 0) {
+        } else if (entry.failure && entry.flights.empty()) {
             this->end(entry, std::move(*entry.failure), "time_over");
         } else {
             this->end(entry, {status_timeout, {}, ""}, "time_over");
@@ -564,10 +605,11 @@
     void forget(request& entry, int status, const std::string& outcome) {
         time_point now = this->loop.now();
         this->loop.cancel(entry.end_timer);
+        this->loop.cancel(entry.hedge_timer);
         this->decisions.cancel(entry.id);
-        if (entry.call != 0) {
-            this->client.cancel(entry.call);
-            this->decisions.finished(entry.id, entry.target, target_result::cancelled, std::nullopt, now);
+        for (const flight& open : entry.flights) {
+            this->client.cancel(open.call);
+            this->decisions.finished(entry.id, open.target, target_result::cancelled, std::nullopt, now);
         }
         this->record(entry, status, outcome, now);
         this->requests.erase(entry.id);
@@ -632,6 +674,10 @@
     return this->state->ready();
 }
 
+std::vector<std::string> gateway::gateways_for(const std::string& region, const std::string& zone) const {
+    return nearest_gateways(this->state->control.gateways(this->state->loop.now()), region, zone);
+}
+
 void gateway::reload(const wire::fleet_settings_t& settings) {
     impl& entry = *this->state;
     log_event("settings_reloaded", field("seeds_before", entry.settings.seeds.size()),
--- a/src/inventory/target_registry.cpp
+++ b/src/inventory/target_registry.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr duration gone_retention = ms(60000);  // reports delayed by a partition arrive well before
+constexpr duration unusable_retention = ms(60000);  // reports delayed by a partition arrive well before
+constexpr duration cold_again_margin = ms(500);     // beyond the rounding of repeated reports
 
 // Whether `report` says more than `held`, which is of the same target.
 bool is_newer(const wire::target_report_t& report, const target_registry::entry& held, time_point heard_at) {
@@ -17,7 +18,10 @@
     if (report.phase != known.phase) {
         return report.phase > known.phase;
     }
-    return report.sequence > known.sequence || (report.sequence == known.sequence && heard_at > held.heard_at);
+    if (report.sequence != known.sequence) {
+        return report.sequence > known.sequence;
+    }
+    return report.silent != known.silent ? report.silent : heard_at > held.heard_at;
 }
 
 }  // namespace
@@ -29,7 +33,10 @@
     if (!added && !is_newer(report, held, heard_at)) {
         return report_effect::none;
     }
+    time_point cold_until = heard_at + ms(report.warm_up_left_ms);
+    bool cold_again = report.warm_up_left_ms > 0 && cold_until > held.cold_until + cold_again_margin;
     bool changed = added || report.started_at_ms != held.report.started_at_ms || report.phase != held.report.phase ||
+                   report.silent != held.report.silent || cold_again ||
                    (!report.address.empty() && report.address != held.report.address);
     bool names_address = !report.address.empty();
     wire::target_report_t before = std::move(held.report);
@@ -44,7 +51,7 @@
         held.report.started_at_ms = std::max(before.started_at_ms, report.started_at_ms);
     }
     held.heard_at = std::max(held.heard_at, heard_at);
-    held.cold_until = heard_at + ms(report.warm_up_left_ms);
+    held.cold_until = cold_until;
     this->claim_address(report.id);
     return changed ? report_effect::changed : report_effect::renewed;
 }
@@ -73,12 +80,11 @@
     }
 }
 
-std::vector<std::string> target_registry::expire(time_point now, duration limit) {
+std::vector<std::string> target_registry::expire(time_point now) {
     std::vector<std::string> dropped;
     for (auto place = this->entries.begin(); place != this->entries.end();) {
         const entry& known = place->second;
-        duration kept = known.usable() ? limit : std::max(limit, gone_retention);
-        if (now - known.heard_at <= kept) {
+        if (known.usable() || now - known.heard_at <= unusable_retention) {
             ++place;
             continue;
         }
