--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -68,6 +68,7 @@
     time_point deadline_at{};           // until when an answer is worth anything
     std::vector<std::string> regions;   // where it may run; empty: anywhere
     std::vector<std::string> excluded;  // targets that it was sent to before
+    bool only_in_time = false;          // dropped without an action when no answer is predicted before the deadline
 };
 
 enum class refusal_cause : std::uint8_t {
@@ -174,11 +175,22 @@
         double least() const;
     };
 
+    // Requests of a service at this gateway.
+    struct arrival_rate {
+        static constexpr double half_life_ms = 700;
+        double count = 0;
+        time_point counted_at{};
+
+        void add(time_point now);
+        double per_ms(time_point now);
+    };
+
     struct service_state {
         std::vector<target_state*> targets;
         work_times work;
         region_share share;
         bool share_started = false;
+        arrival_rate arrivals = {};
         std::size_t waiting = 0;
         std::size_t local_sent = 0;  // at targets of the own region
         double fair_slots = 0;       // of the region, for this gateway
@@ -211,6 +223,7 @@
     candidate best_target(service_state& state, const dispatch_request& request, time_point now);
     double answer_ms(const service_state& state, const target_state& target, const dispatch_request& request,
                      unsigned rank, time_point now, candidate& result) const;
+    double ms_per_request(const service_state& state, time_point now) const;
     double queue_wait_ms(const service_state& state, const dispatch_request& request, time_point now) const;
     queue_key key_of(const dispatch_request& request, const service_state& state, time_point now) const;
     void learn(service_state& state, target_state& target, const sent_request& sent, double took_ms, time_point now);
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -42,6 +42,8 @@
 constexpr duration most_unreachable = ms(4000);   // after several failures
 
 // ---- Refusal ----
+constexpr double least_rest = 0.1;    // of the slots, for late requests
+constexpr double certain_part = 0.7;  // of a predicted wait; work and arrivals differ from their means
 constexpr double least_retry_ms = 50;
 constexpr double most_retry_ms = 2000;
 constexpr double no_target_retry_ms = 400;
@@ -75,7 +77,19 @@
 
 }  // namespace
 
-// ---- Work times ----
+// ---- Arrivals and work times ----
+
+void dispatcher::arrival_rate::add(time_point now) {
+    this->per_ms(now);
+    this->count += 1;
+}
+
+double dispatcher::arrival_rate::per_ms(time_point now) {
+    this->count = decayed(this->count, 0, ms_between(this->counted_at, now), half_life_ms);
+    this->counted_at = now;
+    constexpr double ln2 = 0.6931471805599453;
+    return this->count * ln2 / half_life_ms;
+}
 
 double& dispatcher::work_times::mean_of(object_state state) {
     switch (state) {
@@ -340,26 +354,27 @@
     return {request.service, request.priority, late, order, request.id};
 }
 
-// Time until the requests that go first have been sent, from the slots that this gateway can expect to use.
-double dispatcher::queue_wait_ms(const service_state& state, const dispatch_request& request, time_point now) const {
-    auto first = this->queue.lower_bound(queue_key{.service = request.service});
-    auto own = this->queue.lower_bound(this->key_of(request, state, now));
-    auto ahead = static_cast<double>(std::distance(first, own));
-    if (ahead == 0) {
-        return 0;
-    }
+// Time in which one waiting request of the service is sent, from the slots that this gateway can expect to use.
+double dispatcher::ms_per_request(const service_state& state, time_point now) const {
     double local_slots = 0;
     double remote_slots = 0;
     for (const target_state* target : state.targets) {
-        if (this->usable(*target, request, now) && now >= target->view.cold_until) {
+        if (!target->unreachable_at && now >= target->view.cold_until) {
             (target->view.region == this->options.region ? local_slots : remote_slots) += target->view.slots;
         }
     }
     constexpr double remote_part = 0.25;  // gateways of other regions use the rest
-    double share = state.share.value();
-    double slots = local_slots / this->region_gateways + share * remote_part * remote_slots / this->region_gateways;
-    double mean = state.work.mean();
-    return slots > 0 ? ahead * mean / slots : most_retry_ms;
+    double slots =
+        (local_slots + state.share.value() * remote_part * remote_slots) / static_cast<double>(this->region_gateways);
+    return slots > 0 ? state.work.mean() / slots : most_retry_ms;
+}
+
+// Time until the requests that go first have been sent.
+double dispatcher::queue_wait_ms(const service_state& state, const dispatch_request& request, time_point now) const {
+    auto first = this->queue.lower_bound(queue_key{.service = request.service});
+    auto own = this->queue.lower_bound(this->key_of(request, state, now));
+    auto ahead = static_cast<double>(std::distance(first, own));
+    return ahead == 0 ? 0 : ahead * this->ms_per_request(state, now);
 }
 
 dispatch_action dispatcher::refuse(const dispatch_request& request, refusal_cause cause, double wait_ms) {
@@ -373,6 +388,7 @@
     if (!state.share_started) {
         this->start_share(state);
     }
+    state.arrivals.add(now);
     double left = ms_between(now, request.deadline_at);
     bool any = std::any_of(state.targets.begin(), state.targets.end(),
                            [&](const target_state* target) { return this->usable(*target, request, now); });
@@ -401,20 +417,37 @@
     }
 }
 
-// Refuses those behind the ones that poll() looks at, as soon as no answer in time is possible.
+// Refuses requests that cannot be answered in time any more, and those that will not be because of the requests that
+// go before them.
 void dispatcher::refuse_hopeless(time_point now, std::vector<dispatch_action>& actions) {
     if (now - this->swept_at < sweep_interval) {
         return;
     }
     this->swept_at = now;
+    std::string current;
+    double each_ms = 0;
+    double ahead = 0;
     for (auto place = this->queue.begin(); place != this->queue.end();) {
         const dispatch_request& request = place->second;
         service_state& state = this->service(request.service);
-        if (ms_between(now, request.deadline_at) >= state.work.least()) {
+        if (request.service != current) {
+            current = request.service;
+            each_ms = this->ms_per_request(state, now);
+            ahead = 0;
+        }
+        bool late = place->first.late;
+        double left = ms_between(now, request.deadline_at) - state.work.least();
+        // Late requests get what those that can still be in time leave.
+        double rest = std::max(least_rest, 1 - certain_part * state.arrivals.per_ms(now) * each_ms);
+        double wait = ahead * each_ms / (late ? rest : 1);
+        bool crowded_out = wait * certain_part > left && state.work.mean_ms > 0;
+        if (left >= 0 && !crowded_out) {
+            ahead += 1;
             ++place;
             continue;
         }
-        actions.push_back(this->refuse(request, refusal_cause::too_late, state.work.mean_ms));
+        actions.push_back(
+            this->refuse(request, left < 0 ? refusal_cause::too_late : refusal_cause::overload, std::max(wait, each_ms)));
         this->places.erase(request.id);
         --state.waiting;
         place = this->queue.erase(place);
@@ -447,6 +480,12 @@
         }
         candidate best = this->best_target(state, request, now);
         double mean = state.work.mean();
+        if (request.only_in_time && best.answer_ms > ms_between(now, request.deadline_at)) {
+            this->places.erase(request.id);
+            --state.waiting;
+            place = this->queue.erase(place);
+            continue;
+        }
         bool local = best.target != nullptr && best.target->view.region == this->options.region;
         if (local && state.crowded && static_cast<double>(state.local_sent) >= fair_excess * state.fair_slots + 1) {
             ++place;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,6 +37,8 @@
 constexpr duration starting_retry = ms(300);  // until items are known
 constexpr double hedge_factor = 3;                 // of the predicted time, after which a second target is asked
 constexpr double least_hedge_ms = 120;             // less is within the spread of work and delays
+constexpr duration finish_time = ms(400);          // for a target after the route's time is over
+constexpr std::uint64_t most_patience_ms = 3600000; // of a client
 constexpr unsigned max_unproven_sends = 6;    // to targets that did not run the request, beside the attempts
 constexpr unsigned log_one_success_in = 64;
 constexpr double cold_margin = 0.8;        // of the rate that a cold target bears: counts are spread over links
@@ -108,13 +110,15 @@
         dispatch_request order;
         time_point received_at{};
         time_point first_sent_at{};
+        time_point client_until{};
         time_point ends_at{};  // the client's time or the route's, whichever ends first
         timer_id end_timer = 0;
         unsigned attempts = 0;        // targets that may have run it
         unsigned unproven_sends = 0;  // targets that did not
         std::vector<flight> flights;  // at targets now; two while a second target is tried beside a slow one
         timer_id hedge_timer = 0;
-        std::string target;  // the last one
+        bool answered = false;  // its time was over; a target finishes its work for the next request of the object
+        std::string target;     // the last one
         double predicted_ms = 0;
         std::optional<front_answer> failure;  // of a target, passed on when nothing better comes
         std::string last_reason;
@@ -319,9 +323,11 @@
         entry.repeatable = rule.kind == wire::request_kind::repeatable;
         entry.max_attempts = std::max(1U, rule.max_attempts);
         auto stated = parse_number(head.header(this->dialect.time_left));
+        duration timeout = ms(rule.timeout_ms);
         duration patience =
-            ms(static_cast<std::int64_t>(std::min<std::uint64_t>(stated.value_or(rule.timeout_ms), rule.timeout_ms)));
-        entry.ends_at = now + std::max(ms(1), patience - answer_margin);
+            ms(static_cast<std::int64_t>(std::min<std::uint64_t>(stated.value_or(rule.timeout_ms), most_patience_ms)));
+        entry.client_until = now + patience;
+        entry.ends_at = now + std::max(ms(1), std::min(timeout, patience - answer_margin));
         entry.order = {entry.id,
                        entry.service,
                        rule.sticky ? object : 0,
@@ -375,7 +381,8 @@
             }
         }
         text.append(this->dialect.time_left).append(": ");
-        text.append(std::to_string(std::max<std::int64_t>(1, (entry.ends_at - now).count()))).append("\r\n");
+        time_point until = entry.repeatable ? std::min(entry.client_until, entry.ends_at + finish_time) : entry.ends_at;
+        text.append(std::to_string(std::max<std::int64_t>(1, (until - now).count()))).append("\r\n");
         text.append(this->dialect.expected_target).append(": ").append(target).append("\r\n");
         bool states_length =
             !entry.received.body.empty() || head.method == "POST" || head.method == "PUT" || head.method == "PATCH";
@@ -431,7 +438,9 @@
         bool useful = !entry.flights.empty() && now + ms(std::llround(least_hedge_ms)) < entry.ends_at;
         if (useful && this->budget(entry.service).take(now)) {
             this->retries.Increment();
-            this->decisions.add(entry.order, now);
+            dispatch_request beside = entry.order;
+            beside.only_in_time = true;
+            this->decisions.add(beside, now);
             this->pump();
         }
     }
@@ -459,6 +468,14 @@
         }
         target_result result = this->judge(answer);
         this->decisions.finished(id, entry.target, result, load, now);
+        if (entry.answered) {
+            if (entry.flights.empty()) {
+                this->loop.cancel(entry.end_timer);
+                this->requests.erase(id);
+            }
+            this->pump();
+            return;
+        }
         switch (result) {
         case target_result::answered:
             this->end(entry, this->passed_on(std::move(answer)), "answered");
@@ -576,6 +593,16 @@
         }
         request& entry = *found->second;
         entry.end_timer = 0;
+        if (entry.answered) {
+            this->cancel_flights(entry);
+            this->requests.erase(id);
+            this->pump();
+            return;
+        }
+        if (entry.repeatable && !entry.flights.empty()) {
+            this->end_before_target(entry);
+            return;
+        }
         if (entry.flights.empty() && entry.attempts == 0) {
             this->refuse(entry, "waited_too_long", starting_retry);
         } else if (entry.failure && entry.flights.empty()) {
@@ -586,6 +613,23 @@
         this->pump();
     }
 
+    // A target that is about to finish has its object at hand afterwards, for the client that comes again.
+    void end_before_target(request& entry) {
+        this->record(entry, status_timeout, "time_over", this->loop.now());
+        this->loop.cancel(std::exchange(entry.hedge_timer, 0));
+        this->decisions.cancel(entry.id);
+        entry.answered = true;
+        entry.end_timer = this->loop.after(finish_time, [this, id = entry.id] { this->on_time_over(id); });
+        std::exchange(entry.exchange, nullptr)->respond({status_timeout, {}, ""});
+    }
+
+    void cancel_flights(const request& entry) {
+        for (const flight& open : entry.flights) {
+            this->client.cancel(open.call);
+            this->decisions.finished(entry.id, open.target, target_result::cancelled, std::nullopt, this->loop.now());
+        }
+    }
+
     void on_gone(request_id id) {
         auto found = this->requests.find(id);
         if (found != this->requests.end()) {
@@ -607,10 +651,7 @@
         this->loop.cancel(entry.end_timer);
         this->loop.cancel(entry.hedge_timer);
         this->decisions.cancel(entry.id);
-        for (const flight& open : entry.flights) {
-            this->client.cancel(open.call);
-            this->decisions.finished(entry.id, open.target, target_result::cancelled, std::nullopt, now);
-        }
+        this->cancel_flights(entry);
         this->record(entry, status, outcome, now);
         this->requests.erase(entry.id);
     }
--- /dev/null
+++ b/tests/platform/test_wire.cpp
@@ -0,0 +1,129 @@
+// Guards the translation at the platform's door: what is read back is what was sent, and bad input names its field.
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "wire.h"
+
+using namespace persimmongrade;
+using namespace persimmongrade::platform;
+
+namespace {
+
+const std::string first_call = R"({"upsert":{"routes":{"r-1":{"host":"a.example","path-prefix":"/x/",
+"route-type":"safe","timeout-ms":1500,"target-latency-ms":200,"priority":2,"traffic-split":[{"service":"s1","weight":90},
+{"service":"s2","weight":10}],"max-attempts":2,"sticky":true,"allowed-regions":["north"],"version":"r7","note":[1.50]}},
+"services":{"s1":{"health-path":"/health","max-connections":390,"warmup-s":3.0,"warmup-per-s":17.0,"version":"r7"},
+"s2":{"health-path":"/health","max-connections":390,"warmup-s":0.5,"warmup-per-s":17.0,"version":"r7"}},
+"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000,
+"version":"r7"}},"remove":{"routes":[{"name":"r-old","version":"r9"}]}})";
+
+std::string with(const std::string& from, const std::string& to) {
+    std::string text = first_call;
+    std::size_t place = text.find(from);
+    REQUIRE(place != std::string::npos);
+    return text.replace(place, from.size(), to);
+}
+
+const std::string heartbeat = R"({"address":"10.128.0.9:8080","born":1700000000123,"info":{"service":"s1",
+"version":"v1","zone":"north-1","slots":6},"status":{"state":"ready","sequence":4,"warmup-left-ms":250}})";
+
+std::string heartbeat_with(const std::string& from, const std::string& to) {
+    std::string text = heartbeat;
+    std::size_t place = text.find(from);
+    REQUIRE(place != std::string::npos);
+    return text.replace(place, from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("items are decoded into what they mean") {
+    auto batch = parse_items(first_call);
+    REQUIRE(batch.items.size() == 5);
+    item_store store;
+    CHECK_FALSE(store.problem(batch).has_value());
+    store.apply(batch, 1);
+    const auto* route = store.find(wire::item_kind::route, "r-1");
+    REQUIRE(route != nullptr);
+    CHECK(route->version == 7);
+    CHECK(route->route->kind == wire::request_kind::repeatable);
+    CHECK(route->route->timeout_ms == 1500);
+    CHECK(route->route->aim_ms == 200);
+    CHECK(route->route->parts.size() == 2);
+    CHECK(route->route->parts[1]->weight == 10);
+    CHECK(route->route->regions == std::vector<std::string>{"north"});
+    CHECK(store.find(wire::item_kind::service, "s2")->service->warm_up_ms == 500);
+    CHECK(store.find(wire::item_kind::limits, "limits")->limits->max_body_bytes == 67108864);
+}
+
+TEST_CASE("what is read back is what was sent") {
+    item_store store;
+    store.apply(parse_items(first_call), 1);
+    auto sent = nlohmann::json::parse(first_call)["upsert"];
+    CHECK(nlohmann::json::parse(render_items(store)) == sent);
+}
+
+TEST_CASE("a call that cannot be read in full names the field") {
+    CHECK_THROWS_AS(parse_items(first_call.substr(0, first_call.size() - 9)), message_error);
+    CHECK_THROWS_AS(parse_items("[]"), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"("route-type":"safe")", R"("route-type":"odd")")), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"("timeout-ms":1500,)", "")), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"("timeout-ms":1500)", R"("timeout-ms":"1500")")), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"("timeout-ms":1500)", R"("timeout-ms":-1)")), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"("path-prefix":"/x/")", R"("path-prefix":"/x")")), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"("version":"r7","note")", R"("version":"7","note")")), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"("version":"r7","note")", R"("version":"r7x","note")")), message_error);
+    CHECK_THROWS_AS(parse_items(with(R"({"service":"s1","weight":90})", R"("s1")")), message_error);
+    try {
+        parse_items(with(R"("host":"a.example")", R"("host":7)"));
+        FAIL("accepted");
+    } catch (const message_error& reason) {
+        CHECK(reason.field == "route 'r-1'.host");
+    }
+}
+
+TEST_CASE("weights that add up to nothing and unknown services are found by the store") {
+    item_store store;
+    CHECK(store.problem(parse_items(with(R"("weight":90},
+{"service":"s2","weight":10})",
+                                         R"("weight":0},
+{"service":"s2","weight":0})")))
+              .has_value());
+    CHECK(store.problem(parse_items(with(R"("service":"s2","weight")", R"("service":"s9","weight")"))).has_value());
+}
+
+TEST_CASE("a heartbeat is decoded, and a broken one names no target") {
+    auto report = parse_heartbeat("i-1", heartbeat);
+    CHECK(report.id == "i-1");
+    CHECK(report.service == "s1");
+    CHECK(report.slots == 6);
+    CHECK(report.sequence == 4);
+    CHECK(report.warm_up_left_ms == 250);
+    CHECK(report.started_at_ms == 1700000000123);
+    CHECK(report.phase == wire::target_phase::ready);
+    CHECK(parse_heartbeat("i-1", heartbeat_with("ready", "draining")).phase == wire::target_phase::draining);
+    CHECK_THROWS_AS(parse_heartbeat("i-1", heartbeat_with("ready", "resting")), message_error);
+    CHECK_THROWS_AS(parse_heartbeat("i-1", heartbeat_with(R"("slots":6)", R"("slots":"6")")), message_error);
+    CHECK_THROWS_AS(parse_heartbeat("i-1", heartbeat_with(R"("slots":6)", R"("slots":0)")), message_error);
+    CHECK_THROWS_AS(parse_heartbeat("i-1", heartbeat_with(R"("sequence":4,)", "")), message_error);
+    CHECK_THROWS_AS(parse_heartbeat("i-1", heartbeat_with("10.128.0.9:8080", "nowhere")), error);
+    CHECK_THROWS_AS(parse_heartbeat("i-1", heartbeat.substr(0, 40)), message_error);
+    CHECK_THROWS_AS(parse_heartbeat("i-1", R"({"address":"1.2.3.4:5","info":[],"status":{}})"), message_error);
+}
+
+TEST_CASE("a departure needs no body") {
+    CHECK(parse_departure("i-1", "").phase == wire::target_phase::gone);
+    CHECK(parse_departure("i-1", R"({"born":5})").started_at_ms == 5);
+    CHECK_THROWS_AS(parse_departure("i-1", "{"), message_error);
+}
+
+TEST_CASE("the load of a target is three numbers") {
+    auto load = dialect().parse_load("3,1,8");
+    REQUIRE(load.has_value());
+    CHECK(load->running == 3);
+    CHECK(load->waiting == 1);
+    CHECK(load->slots == 8);
+    for (const char* bad : {"", "3", "3,1", "3,1,8,9", "3,1,x", "a,b,c", "3, 1, 8"}) {
+        CHECK_FALSE(dialect().parse_load(bad).has_value());
+    }
+}
