--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -89,8 +89,8 @@
     request_id request = 0;
     std::string target;  // empty: refused
     refusal_cause cause = refusal_cause::none;
-    duration retry_after{};     // of a refusal
-    double predicted_ms = 0;    // until the answer
+    duration retry_after{};   // of a refusal
+    double predicted_ms = 0;  // until the answer
     object_state object = object_state::unknown;
 };
 
--- a/include/persimmongrade/event_log.h
+++ b/include/persimmongrade/event_log.h
@@ -32,7 +32,7 @@
 
 void start_event_log(const event_log_options& options);  // before it, events are dropped
 bool event_log_accepts(std::string_view event);          // counts a line as dropped when not
-void write_event(std::string line);
+void write_event(const std::string& line);
 void flush_event_log();
 
 template <typename... Fields>
@@ -42,7 +42,7 @@
     }
     std::string line(event);
     ((line.append(" ").append(fields.key).append("=").append(log_value(fields.value))), ...);
-    write_event(std::move(line));
+    write_event(line);
 }
 
 }  // namespace persimmongrade
--- a/include/persimmongrade/gateway.h
+++ b/include/persimmongrade/gateway.h
@@ -44,11 +44,11 @@
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
-    bool ready() const;                                   // knows items and is not stopping
+    bool ready() const;  // knows items and is not stopping
     // For clients that ask where to connect; nearest first. Empty when no gateway is known.
     std::vector<std::string> gateways_for(const std::string& region, const std::string& zone) const;
     void reload(const wire::fleet_settings_t& settings);  // seeds, bounds; addresses stay as at the start
-    void stop(std::function<void()> done);                // clients leave first, then open requests end
+    void stop(const std::function<void()>& done);         // clients leave first, then open requests end
 
 private:
     struct impl;
--- a/include/persimmongrade/http_client.h
+++ b/include/persimmongrade/http_client.h
@@ -36,6 +36,7 @@
     std::string body;
     std::size_t max_answer_bytes = 1048576;
     bool reuse_connection = true;  // a reused connection may just have been closed by the peer
+    std::string host = {};         // of the Host header; empty: the address
 
     auto operator<=>(const http_call&) const = default;
 };
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -13,17 +13,17 @@
 // ---- Learning ----
 constexpr double work_weight = 0.05;             // of one answer in the mean work of a service
 constexpr double slowness_weight = 0.2;          // of one answer in the slowness of a target
-constexpr double unanswered_weight = 0.5;  // of a request that was not answered in its time, in the slowness
+constexpr double unanswered_weight = 0.5;        // of a request that was not answered in its time, in the slowness
 constexpr double failure_weight = 0.2;           // of one answer in the failure rate of a target
 constexpr double judgement_half_life_ms = 3000;  // a target that gets no requests is tried again
-constexpr double others_weight = 0.05;       // of one load report in the mean load of the targets of a region
-constexpr double least_half_life_ms = 200;   // of a load report; the load it shows is served within the mean work
-constexpr double prior_shape = 2;            // how much the loads of the targets of a region differ; 1 is widely
-constexpr double least_prior_load = 0.5;     // requests
-constexpr double first_others_share = 0.5;   // of the slots, used by other gateways until reports tell
-constexpr double first_work_ms = 250;        // until answers tell
-constexpr double first_known_share = 0.3;    // of the work, for a known object, until answers tell
-constexpr double slow_factor = 1.5;          // of the longest work, beyond which a target is slow for any object
+constexpr double others_weight = 0.05;           // of one load report in the mean load of the targets of a region
+constexpr double least_half_life_ms = 200;       // of a load report; the load it shows is served within the mean work
+constexpr double prior_shape = 2;                // how much the loads of the targets of a region differ; 1 is widely
+constexpr double least_prior_load = 0.5;         // requests
+constexpr double first_others_share = 0.5;       // of the slots, used by other gateways until reports tell
+constexpr double first_work_ms = 250;            // until answers tell
+constexpr double first_known_share = 0.3;        // of the work, for a known object, until answers tell
+constexpr double slow_factor = 1.5;              // of the longest work, beyond which a target is slow for any object
 constexpr double least_slowness = 0.3;
 constexpr double most_slowness = 20;
 
@@ -36,7 +36,7 @@
 // Targets in the region hold more than their slots: this gateway then keeps to its part, so that requests wait where
 // they can still be refused or reordered, and not in the queues of targets.
 constexpr double crowded_utilization = 0.95;
-constexpr double fair_excess = 1.15;  // of that part, since the gateways' loads differ
+constexpr double fair_excess = 1.15;              // of that part, since the gateways' loads differ
 constexpr double tolerated_wait_share = 0.3;      // of the work, that a request may wait in a target's own queue
 constexpr duration first_unreachable = ms(1500);  // until a target is tried again, unless it reported itself since
 constexpr duration most_unreachable = ms(4000);   // after several failures
@@ -49,7 +49,7 @@
 constexpr double no_target_retry_ms = 400;
 
 constexpr duration sweep_interval = ms(20);  // between looks at all waiting requests
-constexpr std::size_t max_tried = 24;  // waiting requests of one service for which a poll looks for a target
+constexpr std::size_t max_tried = 24;        // waiting requests of one service for which a poll looks for a target
 
 std::uint64_t mix(std::uint64_t value) {
     value ^= value >> 33U;
@@ -146,9 +146,9 @@
 }
 
 double dispatcher::load(const target_state& target, time_point now) const {
-    return static_cast<double>(target.sent.size()) + decayed(target.others, target.expected_others(this->region_gateways),
-                                                             ms_between(target.others_at, now),
-                                                             target.region->half_life_ms);
+    return static_cast<double>(target.sent.size()) +
+           decayed(target.others, target.expected_others(this->region_gateways), ms_between(target.others_at, now),
+                   target.region->half_life_ms);
 }
 
 dispatcher::service_state& dispatcher::service(const std::string& name) {
@@ -446,8 +446,8 @@
             ++place;
             continue;
         }
-        actions.push_back(
-            this->refuse(request, left < 0 ? refusal_cause::too_late : refusal_cause::overload, std::max(wait, each_ms)));
+        actions.push_back(this->refuse(request, left < 0 ? refusal_cause::too_late : refusal_cause::overload,
+                                       std::max(wait, each_ms)));
         this->places.erase(request.id);
         --state.waiting;
         place = this->queue.erase(place);
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -92,7 +92,7 @@
     return true;
 }
 
-void write_event(std::string line) {
+void write_event(const std::string& line) {
     if (auto& state = current()) {
         append_line(*state, line);
     }
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -207,9 +207,9 @@
         if (effect == report_effect::changed) {
             log_event("target", field("target", report->id), field("service", report->service),
                       field("address", report->address), field("phase", wire::EnumNametarget_phase(report->phase)),
-                      field("silent", report->silent),
-                      field("started_at", report->started_at_ms), field("sequence", report->sequence),
-                      field("warm_up_left_ms", report->warm_up_left_ms), field("age_ms", report->age_ms));
+                      field("silent", report->silent), field("started_at", report->started_at_ms),
+                      field("sequence", report->sequence), field("warm_up_left_ms", report->warm_up_left_ms),
+                      field("age_ms", report->age_ms));
         }
     }
     if (!news.targets.empty()) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,12 +34,12 @@
 constexpr duration poll_interval = ms(8);  // while requests wait: load reports of targets fade
 constexpr duration answer_margin = ms(8);  // an answer must reach the client before its time is over
 constexpr duration belief_check_interval = ms(500);
-constexpr duration starting_retry = ms(300);  // until items are known
-constexpr double hedge_factor = 3;                 // of the predicted time, after which a second target is asked
-constexpr double least_hedge_ms = 120;             // less is within the spread of work and delays
-constexpr duration finish_time = ms(400);          // for a target after the route's time is over
-constexpr std::uint64_t most_patience_ms = 3600000; // of a client
-constexpr unsigned max_unproven_sends = 6;    // to targets that did not run the request, beside the attempts
+constexpr duration starting_retry = ms(300);         // until items are known
+constexpr double hedge_factor = 3;                   // of the predicted time, after which a second target is asked
+constexpr double least_hedge_ms = 120;               // less is within the spread of work and delays
+constexpr duration finish_time = ms(400);            // for a target after the route's time is over
+constexpr std::uint64_t most_patience_ms = 3600000;  // of a client
+constexpr unsigned max_unproven_sends = 6;           // to targets that did not run the request, beside the attempts
 constexpr unsigned log_one_success_in = 64;
 constexpr double cold_margin = 0.8;        // of the rate that a cold target bears: counts are spread over links
 constexpr duration leave_time = ms(2500);  // clients have asked the directory again by then
@@ -414,8 +414,8 @@
         call.attempt = entry.attempt;
         call.is_head_request = entry.received.head.method == "HEAD";
         call.fresh_only = !entry.repeatable;
-        call_id sent = this->client.send(
-            std::move(call), [this, id = entry.id, target = action.target](target_answer answer) {
+        call_id sent =
+            this->client.send(std::move(call), [this, id = entry.id, target = action.target](target_answer answer) {
                 this->on_answer(id, target, std::move(answer));
             });
         entry.flights.push_back({sent, action.target});
@@ -731,7 +731,7 @@
     entry.control.set_seeds(settings.seeds);
 }
 
-void gateway::stop(std::function<void()> done) {
+void gateway::stop(const std::function<void()>& done) {
     impl& entry = *this->state;
     if (std::exchange(entry.is_stopping, true)) {
         return;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -45,7 +45,7 @@
     std::string text;
     text.reserve(size);
     text.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\nhost: ");
-    text.append(call.address.to_string());
+    text.append(call.host.empty() ? call.address.to_string() : call.host);
     text.append(call.reuse_connection ? "\r\nconnection: keep-alive\r\n" : "\r\nconnection: close\r\n");
     for (const http_header& header : call.headers) {
         text.append(header.name).append(": ").append(header.value).append("\r\n");
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,8 +7,8 @@
 #include <charconv>
 #include <utility>
 
-#include "persimmongrade/listener.h"
 #include "persimmongrade/error.h"
+#include "persimmongrade/listener.h"
 #include "persimmongrade/retained.h"
 #include "server_connections.h"
 
--- a/tests/admission/replay.h
+++ b/tests/admission/replay.h
@@ -17,8 +17,8 @@
 #pragma once
 
 #include <algorithm>
-#include <deque>
 #include <cmath>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -39,7 +39,7 @@
     std::size_t in_aim = 0;
     std::size_t late = 0;
     std::size_t refused = 0;
-    std::size_t failed = 0;   // by a target, or not answered by the deadline
+    std::size_t failed = 0;        // by a target, or not answered by the deadline
     std::size_t refused_late = 0;  // after more than half of the deadline
     std::size_t urgent_asked = 0;
     std::size_t urgent_in_aim = 0;
@@ -213,8 +213,14 @@
         this->at(first_ms + this->time() + this->deadline_ms, [this, id] { this->deadline(id); });
         const caller& asked = this->callers.at(id);
         if (this->policy == replay_policy::decisions) {
-            this->gateways[gateway]->add({id, "s", asked.object, urgent ? 0U : 1U, this->now + ms(this->aim_ms),
-                                          this->now + ms(this->deadline_ms), {}, {}},
+            this->gateways[gateway]->add({id,
+                                          "s",
+                                          asked.object,
+                                          urgent ? 0U : 1U,
+                                          this->now + ms(this->aim_ms),
+                                          this->now + ms(this->deadline_ms),
+                                          {},
+                                          {}},
                                          this->now);
             this->pump(gateway);
             return;
--- a/tests/admission/test_replay.cpp
+++ b/tests/admission/test_replay.cpp
@@ -36,8 +36,8 @@
 void check_not_worse(const comparison& all) {
     CHECK(all.decisions.worth() >= all.round_robin.worth());
     CHECK(all.decisions.worth() >= all.least_loaded.worth());
-    CHECK(all.decisions.asked == all.decisions.in_aim + all.decisions.late + all.decisions.refused +
-                                     all.decisions.failed);
+    CHECK(all.decisions.asked ==
+          all.decisions.in_aim + all.decisions.late + all.decisions.refused + all.decisions.failed);
 }
 
 const std::string catalogue = "gateways 3\ntargets 8 6\nwork 284 85\nobjects 130\naim 200 1500\n";
@@ -58,8 +58,8 @@
 }
 
 TEST_CASE("a burst of the less urgent kind leaves the urgent kind whole") {
-    auto all = compare("burst of the less urgent",
-                       catalogue + "rate 0 4000 300\nrate 4000 9000 1100\nurgent 0 9000 60\n");
+    auto all =
+        compare("burst of the less urgent", catalogue + "rate 0 4000 300\nrate 4000 9000 1100\nurgent 0 9000 60\n");
     check_not_worse(all);
     double others = static_cast<double>(all.decisions.in_aim) / static_cast<double>(all.decisions.asked);
     CHECK(all.decisions.urgent_share() >= others);
--- a/tests/gateway/test_http_message.cpp
+++ b/tests/gateway/test_http_message.cpp
@@ -80,8 +80,8 @@
     REQUIRE(parse_response_head("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", limit, true, head) ==
             parse_status::complete);
     CHECK(head.framing == body_framing::none);
-    CHECK(parse_response_head("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", limit, false,
-                              head) == parse_status::malformed);
+    CHECK(parse_response_head("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", limit,
+                              false, head) == parse_status::malformed);
     CHECK(parse_response_head("not an answer\r\n\r\n", limit, false, head) == parse_status::malformed);
 }
 
@@ -92,7 +92,7 @@
         auto part = *rc::gen::inRange<std::size_t>(1, 50);
         const std::string behind = "GET /next HTTP/1.1\r\n";
         std::string stream = (in_chunks ? chunked(bytes, part) : bytes) + behind;
-        body_framing framing = in_chunks ? body_framing::chunked
+        body_framing framing = in_chunks       ? body_framing::chunked
                                : bytes.empty() ? body_framing::none
                                                : body_framing::length;
         body_reader reader(framing, bytes.size(), limit * 4);
--- a/tests/inventory/test_items.cpp
+++ b/tests/inventory/test_items.cpp
@@ -96,9 +96,9 @@
 TEST_CASE("a service may be removed together with the last route that names it") {
     item_store store;
     store.apply(batch_of(1, service_item("s", 1), route_item("r", 1, "s")), 1);
-    CHECK_FALSE(store.problem(batch_of(2, removed(wire::item_kind::service, "s", 2),
-                                       removed(wire::item_kind::route, "r", 2)))
-                    .has_value());
+    CHECK_FALSE(
+        store.problem(batch_of(2, removed(wire::item_kind::service, "s", 2), removed(wire::item_kind::route, "r", 2)))
+            .has_value());
 }
 
 TEST_CASE("accepted calls and evacuations survive a snapshot") {
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -84,9 +84,10 @@
 
 TEST_CASE("weights that add up to nothing and unknown services are found by the store") {
     item_store store;
-    CHECK(store.problem(parse_items(with(R"("weight":90},
+    CHECK(store
+              .problem(parse_items(with(R"("weight":90},
 {"service":"s2","weight":10})",
-                                         R"("weight":0},
+                                        R"("weight":0},
 {"service":"s2","weight":0})")))
               .has_value());
     CHECK(store.problem(parse_items(with(R"("service":"s2","weight")", R"("service":"s9","weight")"))).has_value());
