Keep connections to targets whose answer came before the loop reported the write

Ruled out: idle times, Keep-Alive of the targets. The new test of connections failed before (3 connections instead of 2) and passes now.

--- a/src/gateway/target_client.cpp
+++ b/src/gateway/target_client.cpp
@@ -20,7 +20,14 @@
 constexpr duration fresh_age = ms(1500);   // a connection idle for less has hardly been closed by its target
 constexpr int first_final_status = 200;
 
-enum class link_phase : std::uint8_t { connecting, idle, waiting_head, reading_body, closed };
+enum class link_phase : std::uint8_t {
+    connecting,
+    waiting_head,
+    reading_body,
+    settling,  // answered before the loop reported that the request was written
+    idle,
+    closed,
+};
 
 }  // namespace
 
@@ -121,7 +128,9 @@
         h2o_socket_write(this->socket, &text, 1, [](h2o_socket_t* sock, const char* failure) {
             auto self = static_cast<link*>(sock->data)->shared_from_this();
             self->written = true;
-            if (failure != nullptr) {
+            if (self->phase == link_phase::settling) {
+                self->settle(failure == nullptr);
+            } else if (failure != nullptr) {
                 self->fail(target_call_status::lost, "write failed");
             }
         });
@@ -130,7 +139,7 @@
     std::string_view input() const { return {this->socket->input->bytes, this->socket->input->size}; }
 
     void on_read(const char* failure) {
-        if (this->phase == link_phase::idle) {
+        if (this->phase == link_phase::idle || this->phase == link_phase::settling) {
             this->close();  // closed by the target, or bytes that belong to no request
             return;
         }
@@ -218,14 +227,25 @@
 
     void finish(bool connection_open) {
         this->read_idle_time();
-        bool keep = connection_open && this->answer.head.keep_alive && this->written && !this->skipped_any &&
-                    this->input().empty() && this->max_idle > duration::zero();
+        bool keep = connection_open && this->answer.head.keep_alive && !this->skipped_any && this->input().empty() &&
+                    this->max_idle > duration::zero();
         this->answer.status = target_call_status::answered;
         this->answer.body = std::move(this->reader.body());
         this->answer.reused = this->reused;
         this->report();
+        if (!keep) {
+            this->close();
+        } else if (this->written) {
+            this->settle(true);
+        } else {
+            this->phase = link_phase::settling;
+        }
+    }
+
+    // The request is written and answered: the connection may serve the next one.
+    void settle(bool sound) {
         auto& idle = this->owner.idle_links[this->call.target];
-        if (!keep || idle.size() >= this->owner.options.max_idle_per_target) {
+        if (!sound || idle.size() >= this->owner.options.max_idle_per_target) {
             this->close();
             return;
         }
--- /dev/null
+++ b/tests/gateway/test_connections.cpp
@@ -0,0 +1,331 @@
+// Guards both sides of a gateway on real sockets: what clients get for malformed, early or abandoned requests, and what
+// is made of answers that are cut, spoilt, doubled or belong to another request.
+
+#include <catch2/catch.hpp>
+
+#include <poll.h>
+
+#include <atomic>
+#include <sstream>
+#include <thread>
+
+#include "../support/raw_connection.h"
+#include "front_server.h"
+#include "target_client.h"
+
+using namespace persimmongrade;
+
+namespace {
+
+// ---- A target that answers each request of its connections with the next of its scripted texts ----
+
+class scripted_target {
+public:
+    static constexpr const char* close_now = "<close>";
+    static constexpr const char* reset_now = "<reset>";
+
+    scripted_target(const ip_address& address, std::vector<std::string> answers) : answers(std::move(answers)) {
+        this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int on = 1;
+        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        sockaddr_storage storage{};
+        socklen_t size = address.to_sockaddr(storage);
+        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&storage), size) == 0);
+        REQUIRE(::listen(this->listener, 16) == 0);
+        this->worker = std::thread([this] { this->run(); });
+    }
+
+    ~scripted_target() {
+        this->stopping = true;
+        this->worker.join();
+        ::close(this->listener);
+    }
+
+    scripted_target(const scripted_target&) = delete;
+    scripted_target& operator=(const scripted_target&) = delete;
+
+    std::atomic<int> connections = 0;
+    std::atomic<int> requests = 0;
+
+private:
+    bool readable(int descriptor) const {
+        pollfd polled{descriptor, POLLIN, 0};
+        return ::poll(&polled, 1, 5) > 0;
+    }
+
+    void run() {
+        std::size_t next = 0;
+        while (!this->stopping) {
+            if (!this->readable(this->listener)) {
+                continue;
+            }
+            int descriptor = ::accept(this->listener, nullptr, nullptr);
+            ++this->connections;
+            std::string received;
+            bool open = true;
+            while (open && !this->stopping) {
+                if (!this->readable(descriptor)) {
+                    continue;
+                }
+                std::array<char, 4096> bytes{};
+                ssize_t size = ::recv(descriptor, bytes.data(), bytes.size(), 0);
+                if (size <= 0) {
+                    break;
+                }
+                received.append(bytes.data(), static_cast<std::size_t>(size));
+                if (received.find("\r\n\r\n") == std::string::npos) {
+                    continue;
+                }
+                received.clear();
+                ++this->requests;
+                std::string answer = next < this->answers.size() ? this->answers[next++] : close_now;
+                std::size_t ending = answer.find('<');
+                std::string text = answer.substr(0, ending);
+                [[maybe_unused]] ssize_t sent = ::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+                open = ending == std::string::npos;
+                if (!open && answer.substr(ending) == reset_now) {
+                    linger abort{1, 0};
+                    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+                }
+            }
+            ::close(descriptor);
+        }
+    }
+
+    std::vector<std::string> answers;
+    int listener = -1;
+    std::atomic<bool> stopping = false;
+    std::thread worker;
+};
+
+std::string answer_text(const std::string& attempt, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nAttempt: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+target_call call_to(const ip_address& address, const std::string& attempt) {
+    target_call call;
+    call.target = "t";
+    call.address = address;
+    call.text = "GET / HTTP/1.1\r\nHost: x\r\nAttempt: " + attempt + "\r\n\r\n";
+    call.attempt_header = "attempt";
+    call.attempt = attempt;
+    return call;
+}
+
+target_answer ask(event_loop& loop, target_client& client, const ip_address& address, const std::string& attempt) {
+    std::optional<target_answer> got;
+    client.send(call_to(address, attempt), [&](target_answer answer) {
+        got = std::move(answer);
+        loop.stop();
+    });
+    loop.run_for(ms(2000));
+    REQUIRE(got.has_value());
+    return std::move(*got);
+}
+
+}  // namespace
+
+// ---- Targets ----
+
+TEST_CASE("a connection is used again after a clean answer only") {
+    event_loop loop;
+    ip_address address = raw_connection::own_address(8601);
+    scripted_target target(address, {answer_text("a", "one"), answer_text("b", "two"),
+                                     answer_text("c", "three") + "more", answer_text("d", "four")});
+    target_client client(loop, {});
+    CHECK(ask(loop, client, address, "a").body == "one");
+    CHECK(ask(loop, client, address, "b").body == "two");
+    CHECK(target.connections == 1);
+    auto third = ask(loop, client, address, "c");
+    CHECK(third.reused);
+    CHECK(third.body == "three");
+    CHECK_FALSE(ask(loop, client, address, "d").reused);
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("an answer to another attempt is skipped, and its connection not used again") {
+    event_loop loop;
+    ip_address address = raw_connection::own_address(8602);
+    scripted_target target(address,
+                           {answer_text("old", "not mine") + answer_text("a", "mine"), answer_text("b", "two")});
+    target_client client(loop, {});
+    auto first = ask(loop, client, address, "a");
+    CHECK(first.status == target_call_status::answered);
+    CHECK(first.body == "mine");
+    CHECK(ask(loop, client, address, "b").body == "two");
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("cut, reset and spoilt answers are never whole ones") {
+    event_loop loop;
+    std::uint16_t port = 8610;
+    for (const std::string& broken :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfive<close>"), std::string("<close>"),
+          std::string("<reset>"), std::string("HTTP/1.1 200 OK\r\n\r\nno length<reset>"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n<close>"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+          std::string("\x01\x02 noise\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc")}) {
+        ip_address address = raw_connection::own_address(port++);
+        scripted_target target(address, {broken});
+        target_client client(loop, {});
+        CHECK(ask(loop, client, address, "a").status == target_call_status::lost);
+    }
+}
+
+TEST_CASE("an answer without a length is whole when the connection ends, and an interim one is passed over") {
+    event_loop loop;
+    ip_address address = raw_connection::own_address(8620);
+    scripted_target target(address, {"HTTP/1.1 200 OK\r\n\r\nall of it<close>",
+                                     "HTTP/1.1 100 Continue\r\n\r\n" + answer_text("b", "final")});
+    target_client client(loop, {});
+    auto first = ask(loop, client, address, "a");
+    CHECK(first.status == target_call_status::answered);
+    CHECK(first.body == "all of it");
+    CHECK(ask(loop, client, address, "b").body == "final");
+}
+
+TEST_CASE("without a listener nothing was sent") {
+    event_loop loop;
+    target_client client(loop, {});
+    CHECK(ask(loop, client, raw_connection::own_address(8621), "a").status == target_call_status::unreachable);
+}
+
+TEST_CASE("a cancelled call closes its connection and is not answered") {
+    event_loop loop;
+    ip_address address = raw_connection::own_address(8622);
+    scripted_target target(address, {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", answer_text("b", "two")});
+    target_client client(loop, {});
+    bool answered = false;
+    call_id id = client.send(call_to(address, "a"), [&](const target_answer&) { answered = true; });
+    loop.run_for(ms(100));
+    client.cancel(id);
+    CHECK(ask(loop, client, address, "b").body == "two");
+    CHECK_FALSE(answered);
+    CHECK(target.connections == 2);
+}
+
+// ---- Clients ----
+
+namespace {
+
+struct front {
+    event_loop loop;
+    int handled = 0;
+    bool answers = true;
+    std::shared_ptr<front_exchange> held;
+    int gone = 0;
+    front_server server;
+
+    front(std::uint16_t port, const front_options& options)
+        : server(this->loop, raw_connection::own_address(port), options,
+                 [this](front_request request, std::shared_ptr<front_exchange> exchange) {
+                     ++this->handled;
+                     if (this->answers) {
+                         exchange->respond({200, {}, request.head.target + ":" + request.body});
+                         return;
+                     }
+                     this->held = std::move(exchange);
+                     this->held->on_gone([this] { ++this->gone; });
+                 }) {}
+};
+
+front_options small_limits() {
+    front_options options;
+    options.limits = {1024, 100, ms(200), ms(400)};
+    return options;
+}
+
+}  // namespace
+
+TEST_CASE("requests of one connection are answered in order, with bodies in any framing") {
+    front entry(8630, small_limits());
+    raw_connection client(raw_connection::own_address(8630));
+    client.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"
+                "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+                "GET /c HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    REQUIRE(client.wait_closed(entry.loop, ms(2000)));
+    CHECK(entry.handled == 3);
+    std::size_t a = client.received.find("/a:hi");
+    std::size_t b = client.received.find("/b:abc");
+    std::size_t c = client.received.find("/c:");
+    CHECK(a < b);
+    CHECK(b < c);
+    CHECK(c != std::string::npos);
+}
+
+TEST_CASE("what is malformed or too large is refused, and ends the connection") {
+    front entry(8631, small_limits());
+    auto answer_to = [&](const std::string& text) {
+        raw_connection client(raw_connection::own_address(8631));
+        client.send(text);
+        REQUIRE(client.wait_closed(entry.loop, ms(2000)));
+        return client.received.substr(0, 12);
+    };
+    CHECK(answer_to("GET /a HTTP/1.1\r\n\r\n") == "HTTP/1.1 400");
+    CHECK(answer_to("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+          "HTTP/1.1 400");
+    CHECK(answer_to("GET /a HTTP/1.1\r\nHost: x\r\nA: " + std::string(2000, 'a') + "\r\n\r\n") == "HTTP/1.1 431");
+    CHECK(answer_to("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n") == "HTTP/1.1 413");
+    CHECK(answer_to("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n70\r\n" +
+                    std::string(112, 'b')) == "HTTP/1.1 413");
+    CHECK(answer_to("GET /a HTTP/1.1\r\nHo") == "HTTP/1.1 408");
+    CHECK(answer_to("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab") == "HTTP/1.1 408");
+    CHECK(entry.handled == 0);
+}
+
+TEST_CASE("a client that leaves is noticed at once") {
+    front entry(8632, small_limits());
+    entry.answers = false;
+    {
+        raw_connection client(raw_connection::own_address(8632));
+        client.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        entry.loop.run_for(ms(50));
+        CHECK(entry.handled == 1);
+        CHECK(entry.gone == 0);
+    }
+    entry.loop.run_for(ms(50));
+    CHECK(entry.gone == 1);
+    entry.held->respond({200, {}, "too late"});  // has no effect
+    entry.loop.run_for(ms(20));
+    CHECK(entry.server.open_requests() == 0);
+}
+
+TEST_CASE("a stop answers what is open, says close, and ends idle connections") {
+    front entry(8633, small_limits());
+    entry.answers = false;
+    raw_connection busy(raw_connection::own_address(8633));
+    raw_connection idle(raw_connection::own_address(8633));
+    busy.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    entry.loop.run_for(ms(50));
+    entry.server.close_after_answer();
+    entry.server.close_idle();
+    CHECK(idle.wait_closed(entry.loop, ms(1000)));
+    CHECK_FALSE(busy.receive());
+    entry.held->respond({200, {}, "done"});
+    CHECK(busy.wait_closed(entry.loop, ms(1500)));
+    CHECK(busy.received.find("Connection: close") != std::string::npos);
+    CHECK(busy.received.ends_with("done"));
+}
+
+TEST_CASE("limits that change apply to the next request") {
+    front entry(8634, small_limits());
+    entry.server.set_limits({1024, 4, ms(200), ms(400)});
+    raw_connection client(raw_connection::own_address(8634));
+    client.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n");
+    REQUIRE(client.wait_closed(entry.loop, ms(2000)));
+    CHECK(client.received.starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE("connections beyond the limit are told to come back") {
+    front_options options = small_limits();
+    options.max_connections = 1;
+    front entry(8635, options);
+    raw_connection first(raw_connection::own_address(8635));
+    entry.loop.run_for(ms(20));
+    raw_connection second(raw_connection::own_address(8635));
+    REQUIRE(second.wait_closed(entry.loop, ms(2000)));
+    CHECK(second.received.starts_with("HTTP/1.1 503"));
+    CHECK(second.received.find("retry-after") != std::string::npos);
+}
