--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -220,6 +220,8 @@
     void start_share(service_state& state) const;
     void update_share(service_state& state, time_point now) const;
     bool usable(const target_state& target, const dispatch_request& request, time_point now) const;
+    std::vector<target_state*> preferred(const service_state& state, const dispatch_request& request, bool remote,
+                                         time_point now) const;
     candidate best_target(service_state& state, const dispatch_request& request, time_point now);
     double answer_ms(const service_state& state, const target_state& target, const dispatch_request& request,
                      unsigned rank, time_point now, candidate& result) const;
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -29,6 +30,7 @@
 
 // ---- Placement ----
 constexpr duration object_memory = ms(20000);  // a target's cache holds an object about that long
+constexpr std::size_t copies = 3;              // targets of a region to which one object is sent
 constexpr std::size_t max_objects = 64;        // remembered per target; caches of targets are of this order
 constexpr double remote_ms = 30;               // round trip to another region
 constexpr double failure_cost_ms = 1000;       // of a request that fails
@@ -298,48 +300,70 @@
     return total * overdue;
 }
 
-dispatcher::candidate dispatcher::best_target(service_state& state, const dispatch_request& request, time_point now) {
-    std::uint64_t spread = request.object != 0 ? request.object : mix(request.id);
-    bool remote = state.share.is_remote(mix(spread));
-    // The first of the rendezvous order here and elsewhere.
-    const target_state* first_local = nullptr;
-    const target_state* first_remote = nullptr;
-    std::uint64_t highest_local = 0;
-    std::uint64_t highest_remote = 0;
-    for (const target_state* target : state.targets) {
-        if (!this->usable(*target, request, now) || now < target->view.cold_until) {
+// The targets that a request may go to, of this region or of the others. With an object, only the first few of the
+// rendezvous order: a request sent anywhere else would push other objects out of a target's cache. When more is asked
+// than the first can serve, this keeps the system from turning cold for everybody.
+std::vector<dispatcher::target_state*>
+dispatcher::preferred(const service_state& state, const dispatch_request& request, bool remote, time_point now) const {
+    std::vector<target_state*> chosen;
+    std::array<std::pair<std::uint64_t, target_state*>, copies> first{};
+    for (target_state* target : state.targets) {
+        bool elsewhere = target->view.region != this->options.region;
+        if (elsewhere != remote || !this->usable(*target, request, now)) {
             continue;
         }
-        std::uint64_t rank = mix(spread ^ target->hash);
-        bool local = target->view.region == this->options.region;
-        std::uint64_t& highest = local ? highest_local : highest_remote;
-        const target_state*& first = local ? first_local : first_remote;
-        if (first == nullptr || rank > highest) {
-            highest = rank;
-            first = target;
+        if (request.object == 0) {
+            chosen.push_back(target);
+            continue;
+        }
+        if (now < target->view.cold_until) {
+            continue;
+        }
+        std::pair<std::uint64_t, target_state*> ranked{mix(request.object ^ target->hash), target};
+        for (auto& place : first) {
+            if (place.second == nullptr || ranked.first > place.first) {
+                std::swap(place, ranked);
+                if (ranked.second == nullptr) {
+                    break;
+                }
+            }
         }
     }
-    if (first_local == nullptr && first_remote != nullptr) {
-        remote = true;
-    } else if (first_remote == nullptr) {
-        remote = false;
+    for (const auto& place : first) {
+        if (place.second != nullptr) {
+            chosen.push_back(place.second);
+        }
+    }
+    return chosen;
+}
+
+dispatcher::candidate dispatcher::best_target(service_state& state, const dispatch_request& request, time_point now) {
+    std::uint64_t spread = request.object != 0 ? request.object : mix(request.id);
+    bool remote = state.share.is_remote(mix(spread));
+    auto chosen = this->preferred(state, request, remote, now);
+    if (chosen.empty()) {
+        chosen = this->preferred(state, request, !remote, now);
     }
     candidate best;
-    for (target_state* target : state.targets) {
-        bool local = target->view.region == this->options.region;
-        if (local == remote || !this->usable(*target, request, now)) {
-            continue;
-        }
+    auto consider = [&](target_state* target, unsigned rank) {
         if (now < target->view.cold_until && target->cold_sends.count(now) >= target->view.cold_quota) {
-            continue;
+            return;
         }
         candidate tried;
         tried.target = target;
-        bool first = target == (local ? first_local : first_remote);
-        tried.answer_ms = this->answer_ms(state, *target, request, first ? 0 : 1, now, tried);
+        tried.answer_ms = this->answer_ms(state, *target, request, rank, now, tried);
         if (tried.answer_ms < best.answer_ms) {
             best = tried;
         }
+    };
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        consider(chosen[i], static_cast<unsigned>(i));
+    }
+    // Cold targets take what they bear, so that they become warm.
+    for (target_state* target : state.targets) {
+        if (request.object != 0 && now < target->view.cold_until && this->usable(*target, request, now)) {
+            consider(target, 1);
+        }
     }
     return best;
 }
