--- a/include/persimmongrade/item_store.h
+++ b/include/persimmongrade/item_store.h
@@ -41,7 +41,7 @@
     void load(const std::vector<std::uint8_t>& bytes);  // empty: the state before the first entry
 
     // Gateways.
-    wire::items_delta_t changes_since(std::uint64_t index) const;
+    wire::items_delta_t changes_since(std::uint64_t index) const;  // without documents: links to gateways are slow
     bool merge(const wire::items_delta_t& delta);  // false when nothing changed, or when changes before it are missing
     std::uint64_t applied() const noexcept { return this->last_index; }  // 0: nothing is known
     void set_applied(std::uint64_t index) noexcept { this->last_index = std::max(this->last_index, index); }
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -30,6 +30,7 @@
 constexpr duration gateway_silence = ms(1200);  // four missed pings
 constexpr duration gateway_memory = ms(10000);  // gateways counted for shares of what all of them may use
 constexpr duration resend_after = ms(400);
+constexpr duration items_resend_after = ms(2000);  // many items take that long over a slow link
 constexpr duration storage_retry_interval = ms(300);
 constexpr duration order_timeout = ms(3000);
 constexpr std::size_t max_targets_per_message = 200;
@@ -446,6 +447,7 @@
         time_point now = this->loop.now();
         session& known = this->sessions[from];
         bool was_serving = known.ping.serving;
+        bool wanted_items = known.ping.wants_items;
         known.ping = ping;
         known.heard_at = now;
         if (known.new_session || was_serving != ping.serving) {
@@ -456,8 +458,8 @@
             this->update_gateways();
         }
         this->answer_ping(from, ping);
-        bool lost_items = ping.applied < known.items_sent && now - known.items_sent_at > resend_after;
-        if (lost_items || known.items_sent < ping.applied) {
+        bool lost_items = ping.applied < known.items_sent && now - known.items_sent_at > items_resend_after;
+        if (lost_items || !wanted_items || known.items_sent < ping.applied) {
             known.items_sent = ping.applied;
         }
         this->send_items(from, known);
@@ -478,6 +480,7 @@
         pong.region_gateways = static_cast<std::uint32_t>(
             std::count_if(this->sessions.begin(), this->sessions.end(),
                           [&](const auto& entry) { return entry.second.ping.region == ping.region; }));
+        pong.applied = this->items.applied();
         pong.gateways_version = this->gateways_version;
         if (ping.gateways_version != this->gateways_version) {
             for (const auto& gateway : this->gateways) {
@@ -488,7 +491,7 @@
     }
 
     void send_items(const std::string& id, session& known) {
-        if (known.items_sent >= this->items.applied()) {
+        if (!known.ping.wants_items || known.items_sent >= this->items.applied()) {
             return;
         }
         auto delta = this->items.changes_since(known.items_sent);
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr duration ping_interval = ms(300);
+constexpr duration source_silence = ms(700);   // two missed answers: changes must be in force within two seconds
+constexpr duration source_lag = ms(900);       // several hundred items take less over a link of 5 Mbit/s
 constexpr duration silence = ms(1000);         // three missed answers: the connection may be dead without a reset
 constexpr duration member_memory = ms(15000);  // a control process that left the log is dropped after this
 
@@ -78,6 +80,40 @@
     }));
 }
 
+// All control processes hold the same items; one sends them, since links are slow. Another one takes its place when it
+// is silent, or when it does not send what others know.
+void control_link::choose_source(time_point now) {
+    bool others_know_more = std::any_of(this->contacts.begin(), this->contacts.end(), [&](const auto& entry) {
+        return entry.second.in_touch && entry.second.applied > this->items.applied();
+    });
+    if (!others_know_more) {
+        this->behind_since = time_point{};
+    } else if (this->behind_since == time_point{}) {
+        this->behind_since = now;
+    }
+    auto current = this->contacts.find(this->source);
+    bool silent = current == this->contacts.end() || now - current->second.answered_at > source_silence;
+    bool behind = this->behind_since != time_point{} && now - this->behind_since > source_lag;
+    if (!silent && !behind) {
+        return;
+    }
+    const std::string before = this->source;
+    std::uint64_t most = 0;
+    for (const auto& [address, known] : this->contacts) {
+        bool better = known.in_touch && address != before && now - known.answered_at <= source_silence &&
+                      (this->source == before || known.applied > most);
+        if (better) {
+            this->source = address;
+            most = known.applied;
+        }
+    }
+    if (this->source != before) {
+        this->behind_since = time_point{};
+        log_event("items_source", field("before", before), field("control", this->source), field("silent", silent),
+                  field("behind", behind), field("applied", this->items.applied()), field("known_there", most));
+    }
+}
+
 std::vector<wire::gateway_info_t> control_link::gateways(time_point now) const {
     std::map<std::string, std::pair<std::size_t, const wire::gateway_info_t*>> votes;  // by address
     std::size_t voters = 0;
@@ -111,12 +147,14 @@
     message.sequence = ++this->sequence;
     message.reports_number = to.reports_number;
     message.gateways_version = to.gateways_version;
+    message.wants_items = address == this->source;
     this->peers.send(address, message);
 }
 
 void control_link::ping_all() {
     time_point now = this->loop.now();
     std::vector<std::string> dropped;
+    this->choose_source(now);
     for (auto& [address, known] : this->contacts) {
         bool silent = now - known.answered_at > silence;
         if (silent && known.in_touch) {
@@ -167,6 +205,11 @@
     time_point now = this->loop.now();
     known.answered_at = now;
     known.region_gateways = std::max(1U, pong.region_gateways);
+    known.applied = pong.applied;
+    if (this->source.empty()) {
+        this->source = pong.address;
+        this->ping(pong.address, known);
+    }
     if (known.id != from) {  // the first answer, or another process at this address
         this->addresses.erase(known.id);
         known.id = from;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -47,11 +47,13 @@
         std::uint64_t reports_number = 0;
         unsigned region_gateways = 1;
         std::uint64_t gateways_version = 0;
+        std::uint64_t applied = 0;  // log index that it knows
         std::vector<wire::gateway_info_t> gateways;
         bool in_touch = false;
     };
 
     void ping_all();
+    void choose_source(time_point now);
     void ping(const std::string& address, contact& to);
     void receive(const wire::envelope_t& envelope);
     void on_pong(const std::string& from, const wire::gateway_pong_t& pong);
@@ -68,6 +70,8 @@
     std::map<std::string, contact> contacts;       // by peer address
     std::map<std::string, std::string> addresses;  // peer address by process id
     bool serving = false;
+    std::string source;         // peer address of the control process that sends items
+    time_point behind_since{};  // since when a control process knows more; zero: none does
     std::uint64_t sequence = 0;
     peer_transport peers;
 };
--- a/src/inventory/item_store.cpp
+++ b/src/inventory/item_store.cpp
@@ -175,6 +175,7 @@
     for (const auto& [key, item] : this->items) {
         if (item.changed_at > index) {
             delta.items.push_back(std::make_unique<wire::item_t>(item));
+            delta.items.back()->document.clear();
         }
     }
     for (const auto& [zone, evacuation] : this->evacuations) {
--- a/tests/inventory/test_items.cpp
+++ b/tests/inventory/test_items.cpp
@@ -123,6 +123,18 @@
     CHECK_FALSE(loaded.evacuated("north-1"));
 }
 
+TEST_CASE("documents stay with the control processes") {
+    item_store control;
+    control.apply(batch_of(1, service_item("s", 1)), 1);
+    item_store gateway;
+    REQUIRE(gateway.merge(control.changes_since(0)));
+    CHECK(gateway.find(wire::item_kind::service, "s")->document.empty());
+    CHECK(control.find(wire::item_kind::service, "s")->document == "s1");
+    item_store restored;
+    restored.load(control.snapshot());
+    CHECK(restored.find(wire::item_kind::service, "s")->document == "s1");
+}
+
 TEST_CASE("a delta that misses earlier changes is not taken") {
     item_store control;
     item_store gateway;
