Never signal a child that has ended; the soak could end every process of the user

Cause: child_process had the id -1 after kill_now(), and kill(-1) reaches all processes. Ruled out: the product (its processes end without a line), the machine's memory.

--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -370,6 +370,9 @@
         std::string name = (on_control ? "control-" : "gateway-") + std::to_string(number);
         auto after = ms(std::uniform_int_distribution<int>(100, 1500)(this->random));
         process& entry = this->processes.at(name);
+        if (kind <= 4 && !entry.running->running()) {
+            return;  // it is down already, and will be started again
+        }
         target& there = this->targets.at(this->random() % target_count);
         switch (kind) {
         case 0:
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -59,12 +59,15 @@
 
     pid_t id() const { return this->pid; }
 
-    void signal(int number) const { ::kill(this->pid, number); }
+    // False, and no effect, once the process has ended: an id of -1 would reach every process of the user.
+    bool signal(int number) const { return this->pid > 0 && ::kill(this->pid, number) == 0; }
 
     void kill_now() {
-        this->signal(SIGKILL);
-        ::waitpid(this->pid, nullptr, 0);
-        this->pid = -1;
+        if (this->pid > 0) {
+            this->signal(SIGKILL);
+            ::waitpid(this->pid, nullptr, 0);
+            this->pid = -1;
+        }
     }
 
     // Exit code, or minus the signal number; -1000 when it still runs after `limit`.
