--- a/include/persimmongrade/address.h
+++ b/include/persimmongrade/address.h
@@ -23,4 +23,7 @@
     auto operator<=>(const ip_address&) const = default;
 };
 
+// The address with another port: processes of one deployment use the same ports on all hosts. Throws address_error.
+std::string with_port(const std::string& address, std::uint16_t port);
+
 }  // namespace persimmongrade
--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -128,7 +128,6 @@
     // State, for logs and metrics.
     std::size_t waiting() const noexcept { return this->places.size(); }
     double remote_share(const std::string& service) const;
-    double outstanding(const std::string& target) const;
 
 private:
     struct sent_request {
@@ -161,6 +160,7 @@
         sliding_window cold_sends{ms(1100)};  // a little above a second, since requests arrive at varying delays
 
         double expected_others(unsigned gateways) const;
+        void fade_judgement(time_point now);
     };
 
     struct work_times {
@@ -215,7 +215,10 @@
         object_state object = object_state::unknown;
     };
 
+    using waiting_list = std::map<queue_key, dispatch_request>;
+
     service_state& service(const std::string& name);
+    waiting_list::iterator take_out(waiting_list::iterator place);
     double load(const target_state& target, time_point now) const;  // requests there, of all gateways
     void start_share(service_state& state) const;
     void update_share(service_state& state, time_point now) const;
@@ -238,7 +241,7 @@
     unsigned region_gateways = 1;
     std::unordered_map<std::string, std::unique_ptr<target_state>> targets;
     std::map<std::string, service_state> services;
-    std::map<queue_key, dispatch_request> queue;
+    waiting_list queue;
     std::unordered_map<request_id, queue_key> places;
     std::vector<dispatch_action> refused_on_arrival;
     time_point swept_at{};
--- /dev/null
+++ b/include/persimmongrade/member_links.h
@@ -0,0 +1,51 @@
+// Keeps connections to the other members of the replicated log, as its voter set changes.
+//
+//     auto members = other_members(log.voters(), log.id());
+//     follow_members(peers, connected, std::move(members),
+//                    [&](const auto& id, const auto& address) { peers.add_peer(id, ip_address::parse(address)); });
+
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "messages_generated.h"
+#include "persimmongrade/peer_transport.h"
+
+namespace persimmongrade {
+
+using member_addresses = std::map<std::string, std::string>;  // by member id
+
+// All members but the own one, and but one that another member at the same address replaces: messages to it would reach
+// its replacement.
+inline member_addresses other_members(const wire::voter_set_t& set, const std::string& own_id) {
+    member_addresses others;
+    for (const auto& voter : set.voters) {
+        if (voter->id != own_id) {
+            others[voter->id] = voter->address;
+        }
+    }
+    for (const auto& voter : set.voters) {
+        others.erase(voter->replaces);
+    }
+    return others;
+}
+
+// Calls add(id, address) for each new member, and drops the connections of those that are gone.
+template <typename Add>
+void follow_members(peer_transport& peers, member_addresses& connected, member_addresses members, Add add) {
+    for (const auto& [id, address] : connected) {
+        if (!members.contains(id)) {
+            peers.remove_peer(id);
+        }
+    }
+    for (const auto& [id, address] : members) {
+        if (!connected.contains(id)) {
+            add(id, address);
+        }
+    }
+    connected = std::move(members);
+}
+
+}  // namespace persimmongrade
--- a/include/persimmongrade/retry_budget.h
+++ b/include/persimmongrade/retry_budget.h
@@ -12,7 +12,6 @@
 struct retry_budget_options {
     double ratio = 0.2;           // retries per request
     duration window = ms(10000);  // over which both are counted
-    std::size_t allowance = 0;    // retries in each window that need no request
 };
 
 class retry_budget {
@@ -23,8 +22,7 @@
     void request_arrived(time_point now) { this->requests.add(now); }
 
     bool take(time_point now) {
-        double allowed = this->options.ratio * safety * static_cast<double>(this->requests.count(now)) +
-                         static_cast<double>(this->options.allowance);
+        double allowed = this->options.ratio * safety * static_cast<double>(this->requests.count(now));
         if (static_cast<double>(this->retries.count(now)) + 1 > allowed) {
             return false;
         }
--- a/include/persimmongrade/sliding_window.h
+++ b/include/persimmongrade/sliding_window.h
@@ -25,11 +25,6 @@
         return this->events.size();
     }
 
-    // When one event fewer counts; `now` when none does.
-    time_point next_change(time_point now) const {
-        return this->events.empty() ? now : this->events.front() + this->length;
-    }
-
 private:
     duration length;
     std::deque<time_point> events;
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -137,6 +137,14 @@
 
 // ---- Beliefs ----
 
+// Brings what is held of the target's work up to date: it fades when nothing new is learned.
+void dispatcher::target_state::fade_judgement(time_point now) {
+    double age = ms_between(this->judged_at, now);
+    this->slowness = decayed(this->slowness, 1, age, judgement_half_life_ms);
+    this->failure_rate = decayed(this->failure_rate, 0, age, judgement_half_life_ms);
+    this->judged_at = now;
+}
+
 // Requests of other gateways, from the own ones alone: where this gateway has many, the others have many, because all
 // prefer the same targets for an object. Mean of the whole load with a gamma prior around the load of the region, of
 // which the own requests are a sample.
@@ -215,11 +223,6 @@
     return found == this->services.end() ? 0 : found->second.share.value();
 }
 
-double dispatcher::outstanding(const std::string& target) const {
-    auto found = this->targets.find(target);
-    return found == this->targets.end() ? 0 : static_cast<double>(found->second->sent.size());
-}
-
 // ---- Regions ----
 
 // Callers are taken to be spread evenly over the regions until the load is known.
@@ -360,9 +363,11 @@
         consider(chosen[i], static_cast<unsigned>(i));
     }
     // Cold targets take what they bear, so that they become warm.
-    for (target_state* target : state.targets) {
-        if (request.object != 0 && now < target->view.cold_until && this->usable(*target, request, now)) {
-            consider(target, 1);
+    if (request.object != 0) {  // without an object, `chosen` holds them
+        for (target_state* target : state.targets) {
+            if (now < target->view.cold_until && this->usable(*target, request, now)) {
+                consider(target, 1);
+            }
         }
     }
     return best;
@@ -435,12 +440,17 @@
 void dispatcher::cancel(request_id id) {
     auto found = this->places.find(id);
     if (found != this->places.end()) {
-        --this->service(found->second.service).waiting;
-        this->queue.erase(found->second);
-        this->places.erase(found);
+        this->take_out(this->queue.find(found->second));
     }
 }
 
+// Returns the place behind it.
+dispatcher::waiting_list::iterator dispatcher::take_out(waiting_list::iterator place) {
+    --this->service(place->second.service).waiting;
+    this->places.erase(place->second.id);
+    return this->queue.erase(place);
+}
+
 // Refuses requests that cannot be answered in time any more, and those that will not be because of the requests that
 // go before them.
 void dispatcher::refuse_hopeless(time_point now, std::vector<dispatch_action>& actions) {
@@ -472,9 +482,7 @@
         }
         actions.push_back(this->refuse(request, left < 0 ? refusal_cause::too_late : refusal_cause::overload,
                                        std::max(wait, each_ms)));
-        this->places.erase(request.id);
-        --state.waiting;
-        place = this->queue.erase(place);
+        place = this->take_out(place);
     }
 }
 
@@ -505,9 +513,7 @@
         candidate best = this->best_target(state, request, now);
         double mean = state.work.mean();
         if (request.only_in_time && best.answer_ms > ms_between(now, request.deadline_at)) {
-            this->places.erase(request.id);
-            --state.waiting;
-            place = this->queue.erase(place);
+            place = this->take_out(place);
             continue;
         }
         bool local = best.target != nullptr && best.target->view.region == this->options.region;
@@ -527,9 +533,7 @@
         state.local_sent += local ? 1 : 0;
         target.sent[request.id] = {now, request.object, best.answer_ms, best.object, free};
         actions.push_back({request.id, target.view.id, refusal_cause::none, {}, best.answer_ms, best.object});
-        this->places.erase(request.id);
-        --state.waiting;
-        place = this->queue.erase(place);
+        place = this->take_out(place);
     }
     for (auto& [key, request] : turned_late) {
         this->places[request.id] = key;
@@ -552,12 +556,10 @@
         bool comparable = sent.state == object_state::known || sent.object == 0;
         bool slow = took > slow_factor * work.expected(object_state::unknown);
         if (comparable || slow) {
-            double age = ms_between(target.judged_at, now);
-            double before = decayed(target.slowness, 1, age, judgement_half_life_ms);
             double ratio = took / (comparable ? mean : work.expected(object_state::unknown));
-            target.slowness = std::clamp(before + (ratio - before) * slowness_weight, least_slowness, most_slowness);
-            target.failure_rate = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
-            target.judged_at = now;
+            target.fade_judgement(now);
+            target.slowness = std::clamp(target.slowness + (ratio - target.slowness) * slowness_weight, least_slowness,
+                                         most_slowness);
         }
     }
     if (sent.object != 0) {
@@ -604,24 +606,19 @@
     if (result != target_result::unreachable && result != target_result::cancelled) {
         target.unreachable_at.reset();
     }
-    double age = ms_between(target.judged_at, now);
     bool failed = result == target_result::failed || result == target_result::lost;
     if (failed || result == target_result::answered || result == target_result::not_run) {
         double weight = result == target_result::not_run ? failure_weight / 2 : failure_weight;
-        double before = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
         double sample = result == target_result::answered ? 0 : 1;
-        target.slowness = decayed(target.slowness, 1, age, judgement_half_life_ms);
-        target.failure_rate = before + (sample - before) * weight;
-        target.judged_at = now;
+        target.fade_judgement(now);
+        target.failure_rate += (sample - target.failure_rate) * weight;
     }
     if (result == target_result::cancelled) {
         // Its time was over: the work takes at least this long there.
         double least = ms_between(sent.sent_at, now) / std::max(1.0, sent.predicted_ms);
-        double slowness = decayed(target.slowness, 1, age, judgement_half_life_ms);
-        if (least > slowness && least > overdue_factor) {
-            target.slowness = std::min(most_slowness, slowness + (least - slowness) * unanswered_weight);
-            target.failure_rate = decayed(target.failure_rate, 0, age, judgement_half_life_ms);
-            target.judged_at = now;
+        target.fade_judgement(now);
+        if (least > target.slowness && least > overdue_factor) {
+            target.slowness = std::min(most_slowness, target.slowness + (least - target.slowness) * unanswered_weight);
         }
     }
     if (result == target_result::answered) {
--- a/src/base/address.cpp
+++ b/src/base/address.cpp
@@ -44,6 +44,12 @@
     return (is_ipv6 ? "[" + this->ip + "]" : this->ip) + ":" + std::to_string(this->port);
 }
 
+std::string with_port(const std::string& address, std::uint16_t port) {
+    ip_address moved = ip_address::parse(address);
+    moved.port = port;
+    return moved.to_string();
+}
+
 socklen_t ip_address::to_sockaddr(sockaddr_storage& storage) const {
     std::memset(&storage, 0, sizeof(storage));
     if (this->ip.find(':') == std::string::npos) {
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -281,9 +281,6 @@
 void read_fleet_bounds(mapping_reader& reader, wire::fleet_settings_t& settings) {
     reader.optional("heartbeat_ms", settings.heartbeat_ms, 100, 60000);
     reader.optional("stop_timeout_ms", settings.stop_timeout_ms, 500, 600000);
-    reader.optional("contact_ms", settings.contact_ms, 100, 600000);
-    reader.optional("warm_up_overshoot", settings.warm_up_overshoot, 1, 100);
-    reader.optional("warm_up_slack", settings.warm_up_slack, 0, 100000);
     reader.optional("retry_ratio", settings.retry_ratio, 0, 10);
     reader.optional("retry_window_ms", settings.retry_window_ms, 100, 600000);
     reader.optional("max_shift", settings.max_shift, 0, 1);
--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -3,13 +3,13 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <set>
 
 #include "persimmongrade/log.h"
 #include "persimmongrade/log_storage.h"
 #include "persimmongrade/metrics.h"
 #include "persimmongrade/peer_transport.h"
+#include "persimmongrade/random.h"
 
 namespace persimmongrade {
 
@@ -26,8 +26,7 @@
     if (std::ifstream(path) >> token) {
         return token;
     }
-    std::random_device random;
-    token = (static_cast<std::uint64_t>(random()) << 32u) | random();
+    token = random_bits();
     std::ofstream(path) << token << "\n";
     return token;
 }
--- a/src/control/control_server.cpp
+++ b/src/control/control_server.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "persimmongrade/log.h"
+#include "persimmongrade/random.h"
 #include "server_state.h"
 
 namespace persimmongrade {
@@ -106,8 +107,7 @@
     storage_options storage;
     storage.directory = settings.data_directory;
     storage.name = settings.id;
-    std::random_device random;
-    storage.identity_seed = (static_cast<std::uint64_t>(random()) << 32u) | random();
+    storage.identity_seed = random_bits();
     if (options.bootstrap) {
         storage.bootstrap.emplace();
         for (const auto& peer : settings.control) {
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "persimmongrade/log.h"
+#include "persimmongrade/member_links.h"
 #include "persimmongrade/settings.h"
 
 namespace persimmongrade {
@@ -45,32 +46,15 @@
     return peer == nullptr ? id : peer->id;
 }
 
-// Connects to the members, except to one that another member at the same address replaces: messages to it would
-// reach its replacement.
 void control_server::impl::members_changed() {
-    std::map<std::string, std::string> wanted;
-    for (const auto& voter : this->log.voters().voters) {
-        if (voter->id != this->log.id()) {
-            wanted[voter->id] = voter->address;
-        }
-    }
-    for (const auto& voter : this->log.voters().voters) {
-        wanted.erase(voter->replaces);
-    }
-    for (const auto& [id, address] : this->connected) {
-        if (!wanted.contains(id)) {
-            this->peers.remove_peer(id);
-        }
-    }
-    for (const auto& [id, address] : wanted) {
-        if (!this->connected.contains(id)) {
-            const wire::peer_settings_t* peer = this->control_at(address);
-            this->peers.add_peer(id, ip_address::parse(address),
-                                 peer == nullptr ? duration::zero()
-                                                 : simulated_delay(this->settings.simulated_latency, peer->region));
-        }
-    }
-    this->connected = std::move(wanted);
+    follow_members(this->peers, this->connected, other_members(this->log.voters(), this->log.id()),
+                   [this](const std::string& id, const std::string& address) {
+                       const wire::peer_settings_t* peer = this->control_at(address);
+                       this->peers.add_peer(id, ip_address::parse(address),
+                                            peer == nullptr
+                                                ? duration::zero()
+                                                : simulated_delay(this->settings.simulated_latency, peer->region));
+                   });
     log_info("members changed", field("members", this->log.voters().voters.size()));
 }
 
@@ -147,9 +131,7 @@
         if (!peer->http_address.empty()) {
             return peer->http_address;
         }
-        ip_address address = ip_address::parse(peer->address);
-        address.port = ip_address::parse(this->settings.http_address).port;
-        return address.to_string();
+        return with_port(peer->address, ip_address::parse(this->settings.http_address).port);
     }
     return {};
 }
--- a/src/control/server_state.h
+++ b/src/control/server_state.h
@@ -26,6 +26,7 @@
 #include "persimmongrade/distribution.h"
 #include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
+#include "persimmongrade/member_links.h"
 #include "persimmongrade/metrics.h"
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/record_store.h"
@@ -80,7 +81,7 @@
     http_server http;
     http_client client;  // requests to be added to the voters
     record_parse_queue parser;
-    std::map<std::string, std::string> connected;  // address by member id
+    member_addresses connected;
     std::size_t next_to_ask = 0;
     std::deque<submission> queue;                     // accepted from HTTP, not yet proposed
     std::map<std::uint64_t, pending_entry> proposed;  // by log index
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -5,14 +5,15 @@
 #include <algorithm>
 #include <deque>
 #include <map>
-#include <random>
 #include <utility>
 
 #include "persimmongrade/address.h"
 #include "persimmongrade/consensus_driver.h"
 #include "persimmongrade/event_log.h"
 #include "persimmongrade/gateway_list.h"
+#include "persimmongrade/member_links.h"
 #include "persimmongrade/peer_transport.h"
+#include "persimmongrade/random.h"
 #include "persimmongrade/target_registry.h"
 
 namespace persimmongrade {
@@ -36,14 +37,6 @@
 constexpr std::size_t max_targets_per_message = 200;
 constexpr double target_silence_beats = 3.5;  // missed reports after which a target counts as silent
 
-using item_batch_pointer = std::unique_ptr<wire::item_batch_t>;
-
-std::string peer_address_of(const std::string& http_address, std::uint16_t peer_port) {
-    ip_address address = ip_address::parse(http_address);
-    address.port = peer_port;
-    return address.to_string();
-}
-
 byte_string encode_command(const wire::fleet_command_t& command) {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::fleet_command::Pack(builder, &command));
@@ -79,9 +72,9 @@
     target_registry targets;
     consensus_driver<impl> log;
     peer_transport peers;
-    std::map<std::string, std::string> connected;  // address by member id
-    std::set<std::string> asked;                   // peer addresses of processes that may know the leader
-    std::deque<order> waiting;                     // one is in the log at a time, so that each is checked against
+    member_addresses connected;
+    std::set<std::string> asked;  // peer addresses of processes that may know the leader
+    std::deque<order> waiting;    // one is in the log at a time, so that each is checked against
     std::optional<std::pair<std::uint64_t, std::uint64_t>> proposed;  // the state before it: index and term
     std::map<std::string, session> sessions;                          // by gateway id
     std::map<std::string, time_point> reporting;                      // last report, by id of targets that report here
@@ -119,7 +112,7 @@
           targets_gauge(metrics.gauge("persimmongrade_targets", "Targets known.")),
           gateways_gauge(metrics.gauge("persimmongrade_gateways", "Gateways heard recently.")) {
         for (const std::string& seed : this->settings.seeds) {
-            this->asked.insert(peer_address_of(seed, this->peer_port));
+            this->asked.insert(with_port(seed, this->peer_port));
         }
         this->log.start();
         loop.every(consensus_tick, [this] { this->tick(); });
@@ -142,15 +135,14 @@
         storage_options storage;
         storage.directory = this->settings.data_directory;
         storage.name = this->settings.peer_address;
-        std::random_device random;
-        storage.identity_seed = (static_cast<std::uint64_t>(random()) << 32U) | random();
+        storage.identity_seed = random_bits();
         const auto& seeds = this->settings.seeds;
         bool founder = std::find(seeds.begin(), seeds.end(), this->settings.control_http_address) != seeds.end();
         if (this->settings.bootstrap && founder) {
             storage.bootstrap.emplace();
             for (const std::string& seed : seeds) {
                 auto voter = std::make_unique<wire::voter_t>();
-                voter->address = peer_address_of(seed, this->peer_port);
+                voter->address = with_port(seed, this->peer_port);
                 voter->id = voter->address;
                 storage.bootstrap->voters.push_back(std::move(voter));
             }
@@ -187,16 +179,7 @@
 
     // ---- Members of the log ----
 
-    const wire::voter_t* member_at(const std::string& address) const {
-        for (const auto& voter : this->log.voters().voters) {
-            if (voter->address == address) {
-                return voter.get();
-            }
-        }
-        return nullptr;
-    }
-
-    std::vector<std::string> member_addresses() const {
+    std::vector<std::string> peer_addresses() const {
         std::set<std::string> addresses;
         for (const auto& voter : this->log.voters().voters) {
             addresses.insert(voter->address);
@@ -204,29 +187,16 @@
         return {addresses.begin(), addresses.end()};
     }
 
-    // Messages to a member that another one at the same address replaces would reach its replacement.
     void members_changed() {
-        std::map<std::string, std::string> wanted;
-        for (const auto& voter : this->log.voters().voters) {
-            if (voter->id != this->log.id() && voter->address != this->settings.peer_address) {
-                wanted[voter->id] = voter->address;
-            }
-        }
-        for (const auto& voter : this->log.voters().voters) {
-            wanted.erase(voter->replaces);
-        }
-        for (const auto& [id, address] : this->connected) {
-            if (!wanted.contains(id)) {
-                this->peers.remove_peer(id);
-            }
-        }
-        for (const auto& [id, address] : wanted) {
-            if (!this->connected.contains(id)) {
-                this->peers.add_peer(id, ip_address::parse(address));
-            }
+        member_addresses others = other_members(this->log.voters(), this->log.id());
+        std::erase_if(others, [this](const auto& entry) { return entry.second == this->settings.peer_address; });
+        for (const auto& [id, address] : others) {
             this->asked.insert(address);
         }
-        this->connected = std::move(wanted);
+        follow_members(this->peers, this->connected, std::move(others),
+                       [this](const std::string& id, const std::string& address) {
+                           this->peers.add_peer(id, ip_address::parse(address));
+                       });
         std::string names;
         for (const auto& voter : this->log.voters().voters) {
             names += (names.empty() ? "" : ",") + voter->id + (voter->voting ? "" : "(learning)");
@@ -257,7 +227,7 @@
 
     void answer_join(const std::string& from, const wire::join_request_t& request) {
         wire::join_reply_t reply;
-        reply.members = this->member_addresses();
+        reply.members = this->peer_addresses();
         this->peers.send(from, reply);
         if (!this->log.is_leader() || this->is_stopping) {
             return;
@@ -323,9 +293,7 @@
     std::string leader_http_address() const {
         for (const auto& voter : this->log.voters().voters) {
             if (voter->id == this->log.leader_id()) {
-                ip_address address = ip_address::parse(voter->address);
-                address.port = this->http_port;
-                return address.to_string();
+                return with_port(voter->address, this->http_port);
             }
         }
         return {};
@@ -473,9 +441,8 @@
 
     void answer_ping(const std::string& from, const wire::gateway_ping_t& ping) {
         wire::gateway_pong_t pong;
-        pong.sequence = ping.sequence;
         pong.address = this->settings.peer_address;
-        pong.members = this->member_addresses();
+        pong.members = this->peer_addresses();
         pong.has_leader = !this->log.leader_id().empty();
         pong.region_gateways = static_cast<std::uint32_t>(
             std::count_if(this->sessions.begin(), this->sessions.end(),
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -22,12 +22,6 @@
            std::to_string(::getpid());
 }
 
-std::string to_peer_address(const std::string& http_address, const wire::fleet_settings_t& settings) {
-    ip_address address = ip_address::parse(http_address);
-    address.port = ip_address::parse(settings.peer_address).port;
-    return address.to_string();
-}
-
 }  // namespace
 
 control_link::control_link(event_loop& loop, const wire::fleet_settings_t& given, metric_registry& metrics,
@@ -43,7 +37,7 @@
 void control_link::set_seeds(const std::vector<std::string>& http_addresses) {
     this->seeds.clear();
     for (const std::string& address : http_addresses) {
-        this->seeds.insert(to_peer_address(address, this->settings));
+        this->seeds.insert(with_port(address, ip_address::parse(this->settings.peer_address).port));
     }
     for (const std::string& address : this->seeds) {
         this->add(address);
@@ -144,7 +138,6 @@
     message.zone = this->settings.zone;
     message.serving = this->serving;
     message.applied = this->items.applied();
-    message.sequence = ++this->sequence;
     message.reports_number = to.reports_number;
     message.gateways_version = to.gateways_version;
     message.wants_items = address == this->source;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -72,7 +72,6 @@
     bool serving = false;
     std::string source;         // peer address of the control process that sends items
     time_point behind_since{};  // since when a control process knows more; zero: none does
-    std::uint64_t sequence = 0;
     peer_transport peers;
 };
 
--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -38,7 +38,6 @@
     std::unordered_map<connection*, std::shared_ptr<connection>> connections;
     std::size_t requests = 0;
     std::size_t buffered_bytes = 0;
-    std::uint64_t rejected = 0;
     bool closing = false;
     timer_id check_timer = 0;
 
@@ -176,7 +175,6 @@
     }
 
     void reject(int status) {
-        ++this->owner.rejected;
         log_event("request_rejected", field("status", status), field("received_bytes", this->input().size()),
                   field("method", this->head.method), field("path", this->head.target));
         this->close_after = true;
@@ -416,8 +414,4 @@
     return this->state->requests;
 }
 
-std::uint64_t front_server::rejected() const {
-    return this->state->rejected;
-}
-
 }  // namespace persimmongrade
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -70,7 +70,6 @@
     void close_idle();          // ends connections that hold no request
     std::size_t open_connections() const;
     std::size_t open_requests() const;
-    std::uint64_t rejected() const;  // malformed, too large or incomplete requests
 
 private:
     struct impl;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -217,11 +217,7 @@
     }
 
     void believe_all() {
-        std::vector<std::string> ids;
-        this->targets.each([&](const target_registry::entry& known) { ids.push_back(known.report.id); });
-        for (const std::string& id : ids) {
-            this->believe(id);
-        }
+        this->targets.each([this](const target_registry::entry& known) { this->believe(known.report.id); });
     }
 
     unsigned cold_quota(const wire::target_report_t& report, const wire::service_rule_t& rule) const {
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -15,7 +15,6 @@
         }
         auto added = std::make_unique<route>(route{item.name, item.version, *item.route, weighted_split(weights)});
         this->hosts[item.route->host].push_back(std::move(added));
-        ++this->count;
     });
     for (auto& [host, routes] : this->hosts) {
         std::stable_sort(routes.begin(), routes.end(), [](const auto& a, const auto& b) {
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -28,12 +28,10 @@
 
     // The route of `host` with the longest prefix that begins `path`; null when none does. The host is without a port.
     const route* find(std::string_view host, std::string_view path) const;
-    std::size_t size() const noexcept { return this->count; }
 
 private:
     // By descending length of the prefix.
     std::map<std::string, std::vector<std::unique_ptr<route>>, std::less<>> hosts;
-    std::size_t count = 0;
 };
 
 }  // namespace persimmongrade
--- a/src/gateway/target_client.cpp
+++ b/src/gateway/target_client.cpp
@@ -43,7 +43,6 @@
     timer_id report_hook = 0;
     timer_id sweep_timer = 0;
     call_id next_id = 1;
-    std::uint64_t opened = 0;
 
     impl(event_loop& loop, const target_client_options& options) : loop(loop), options(options) {}
 
@@ -113,7 +112,6 @@
         }
         set_no_delay(this->socket);
         set_liveness(this->socket);
-        ++this->owner.opened;
         h2o_socket_read_start(this->socket, [](h2o_socket_t* sock, const char* read_failure) {
             auto self = static_cast<link*>(sock->data)->shared_from_this();
             self->on_read(read_failure);
@@ -390,16 +388,4 @@
     }
 }
 
-std::uint64_t target_client::opened() const {
-    return this->state->opened;
-}
-
-std::size_t target_client::idle() const {
-    std::size_t count = 0;
-    for (const auto& [target, links] : this->state->idle_links) {
-        count += links.size();
-    }
-    return count;
-}
-
 }  // namespace persimmongrade
--- a/src/gateway/target_client.h
+++ b/src/gateway/target_client.h
@@ -63,8 +63,6 @@
     call_id send(target_call call, std::function<void(target_answer)> callback);
     void cancel(call_id id);                 // unknown ids are ignored
     void forget(const std::string& target);  // closes its idle connections
-    std::uint64_t opened() const;            // connections since the start
-    std::size_t idle() const;
 
 private:
     struct impl;
--- a/src/request/uuid.cpp
+++ b/src/request/uuid.cpp
@@ -4,6 +4,8 @@
 #include <cctype>
 #include <cstddef>
 
+#include "persimmongrade/random.h"
+
 namespace persimmongrade {
 
 namespace {
@@ -81,10 +83,8 @@
 }
 
 std::string make_uuid_v7(std::int64_t unix_ms) {
-    std::random_device device;
-    auto word = [&device] { return (static_cast<std::uint64_t>(device()) << 32) | device(); };
-    std::uint64_t first = word();
-    return format(unix_ms, first, word());
+    std::uint64_t first = random_bits();
+    return format(unix_ms, first, random_bits());
 }
 
 }  // namespace persimmongrade
