Correct outdated target reports; give peers of large frames time to read

Logs: at 15.8 s every gateway was told that 65 of 216 targets were silent (age 5.3 s), and nothing took that back. The sender was a control process that had been frozen until 10.4 s. It first read heartbeats that had waited in its sockets, took the targets for its own and missed the next ones; the process to which they reported held newer reports and ignored the older ones without a word, and reports that change nothing are not passed on. Ruled out: targets that ended, links, the share between regions (it moved afterwards).

Change: a control process to which a target reports answers an outdated report with its own.

Peer connections ended when the peer did not read for 1.5 s (TCP_USER_TIMEOUT covers a closed window). The limit is now 10 s where frames of a megabyte are sent, and 1.5 s as before between hosts that find each other. Test: test_net, 128 KB of 16 MB arrived before.

Gateways log service_beliefs every 2 s: utilization, share, learned work.

--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -109,6 +109,19 @@
     unsigned slots = 0;
 };
 
+// What the decisions of one service rest on, for logs.
+struct service_beliefs {
+    std::string service;
+    std::size_t targets = 0;
+    std::size_t waiting = 0;
+    double remote_share = 0;
+    double local_utilization = 0;  // running and waiting requests per slot
+    double remote_utilization = 0;
+    double known_ms = 0;  // expected work by state of the object
+    double likely_ms = 0;
+    double unknown_ms = 0;
+};
+
 class dispatcher {
 public:
     explicit dispatcher(const dispatcher_options& options);
@@ -128,6 +141,7 @@
     // State, for logs and metrics.
     std::size_t waiting() const noexcept { return this->places.size(); }
     double remote_share(const std::string& service) const;
+    std::vector<service_beliefs> beliefs() const;
 
 private:
     struct sent_request {
@@ -195,6 +209,8 @@
         std::size_t local_sent = 0;  // at targets of the own region
         double fair_slots = 0;       // of the region, for this gateway
         bool crowded = false;        // the region's targets have more requests than slots
+        double local_utilization = 0;
+        double remote_utilization = 0;
         std::map<std::string, region_load> regions = {};
     };
 
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -223,6 +223,16 @@
     return found == this->services.end() ? 0 : found->second.share.value();
 }
 
+std::vector<service_beliefs> dispatcher::beliefs() const {
+    std::vector<service_beliefs> all;
+    for (const auto& [name, state] : this->services) {
+        all.push_back({name, state.targets.size(), state.waiting, state.share.value(), state.local_utilization,
+                       state.remote_utilization, state.work.expected(object_state::known),
+                       state.work.expected(object_state::likely), state.work.expected(object_state::unknown)});
+    }
+    return all;
+}
+
 // ---- Regions ----
 
 // Callers are taken to be spread evenly over the regions until the load is known.
@@ -262,8 +272,9 @@
     state.crowded = local_slots > 0 && local_load / local_slots > crowded_utilization;
     // Reports of targets lag; the own part of the slots here tells at once whether this gateway brings too much.
     double own_utilization = local_slots > 0 ? own_load * this->region_gateways / local_slots : full;
-    state.share.update(now, local_slots > 0 ? std::max(local_load / local_slots, own_utilization) : full,
-                       remote_slots > 0 ? remote_load / remote_slots : full);
+    state.local_utilization = local_slots > 0 ? std::max(local_load / local_slots, own_utilization) : full;
+    state.remote_utilization = remote_slots > 0 ? remote_load / remote_slots : full;
+    state.share.update(now, state.local_utilization, state.remote_utilization);
 }
 
 // ---- Placement ----
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -97,8 +97,9 @@
         : loop(loop), settings(given), peer_port(ip_address::parse(given.peer_address).port),
           http_port(ip_address::parse(given.control_http_address).port),
           log(*this, log_options(), this->data_options(), loop.now()),
-          peers(loop, settings.cluster, this->log.id(), ip_address::parse(settings.peer_address), metrics,
-                [this](const wire::envelope_t& envelope) { this->receive(envelope); }),
+          peers(
+              loop, settings.cluster, this->log.id(), ip_address::parse(settings.peer_address), metrics,
+              [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peer_limit),
           orders_accepted(
               metrics.counter("persimmongrade_orders_total", "Orders of operators.", {{"outcome", "accepted"}})),
           orders_refused(
@@ -571,11 +572,22 @@
                   field("warm_up_left_ms", report.warm_up_left_ms), field("source", source));
     }
 
-    // From another control process, to which the target reports now.
+    // From another control process, to which the target reports now, unless that process was frozen and has read
+    // reports that waited in its sockets. It and the gateways are then told what is known here, since nothing else
+    // would correct them: a report that changes nothing is not passed on.
     void merge_report(const wire::target_report_t& report) {
         report_effect effect = this->targets.merge(report, this->loop.now());
         if (effect != report_effect::none) {
             this->reporting.erase(report.id);
+        } else if (this->reporting.contains(report.id)) {
+            const wire::target_report_t& held = this->targets.find(report.id)->report;
+            bool outdated =
+                std::pair(report.started_at_ms, report.sequence) < std::pair(held.started_at_ms, held.sequence);
+            if (outdated) {
+                log_event("report_outdated", field("target", report.id), field("sequence", report.sequence),
+                          field("held_sequence", held.sequence), field("silent", report.silent));
+                this->announced.insert(report.id);
+            }
         }
         if (effect == report_effect::changed) {
             this->log_target(*this->targets.find(report.id), "control");
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -28,8 +28,9 @@
                            item_store& items, target_registry& targets,
                            std::function<void(const control_news&)> on_news)
     : loop(loop), settings(given), items(items), targets(targets), on_news(std::move(on_news)),
-      peers(loop, given.cluster, gateway_id(given), ip_address::parse(given.peer_address), metrics,
-            [this](const wire::envelope_t& envelope) { this->receive(envelope); }) {
+      peers(
+          loop, given.cluster, gateway_id(given), ip_address::parse(given.peer_address), metrics,
+          [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peer_limit) {
     this->set_seeds(given.seeds);
     loop.every(ping_interval, [this] { this->ping_all(); });
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,6 +34,7 @@
 constexpr duration poll_interval = ms(8);  // while requests wait: load reports of targets fade
 constexpr duration answer_margin = ms(8);  // an answer must reach the client before its time is over
 constexpr duration belief_check_interval = ms(500);
+constexpr duration belief_log_interval = ms(2000);   // three services then take a few lines a second of all gateways
 constexpr duration starting_retry = ms(300);         // until items are known
 constexpr double hedge_factor = 3;                   // of the predicted time, after which a second target is asked
 constexpr double least_hedge_ms = 120;               // less is within the spread of work and delays
@@ -176,6 +177,7 @@
           control_gauge(metrics.gauge("persimmongrade_control_in_touch", "Control processes that answer.")),
           connections_gauge(metrics.gauge("persimmongrade_client_connections", "Open connections of clients.")) {
         loop.every(belief_check_interval, [this] { this->check_beliefs(); });
+        loop.every(belief_log_interval, [this] { this->log_beliefs(); });
     }
 
     static front_options front_options_of(const wire::fleet_settings_t& settings) {
@@ -270,6 +272,20 @@
         this->connections_gauge.Set(static_cast<double>(this->front.open_connections()));
     }
 
+    void log_beliefs() const {
+        for (const service_beliefs& held : this->decisions.beliefs()) {
+            if (held.targets == 0) {
+                continue;
+            }
+            log_event("service_beliefs", field("service", held.service), field("targets", held.targets),
+                      field("waiting", held.waiting), field("remote_share", held.remote_share),
+                      field("local_utilization", held.local_utilization),
+                      field("remote_utilization", held.remote_utilization), field("known_ms", held.known_ms),
+                      field("likely_ms", held.likely_ms), field("unknown_ms", held.unknown_ms),
+                      field("items_index", this->items.applied()));
+        }
+    }
+
     bool ready() const { return !this->items.empty() && !this->is_stopping; }
 
     // ---- Requests from clients ----
--- a/src/gateway/target_client.cpp
+++ b/src/gateway/target_client.cpp
@@ -111,7 +111,7 @@
             return;
         }
         set_no_delay(this->socket);
-        set_liveness(this->socket);
+        set_liveness(this->socket, this->owner.options.unacknowledged);
         h2o_socket_read_start(this->socket, [](h2o_socket_t* sock, const char* read_failure) {
             auto self = static_cast<link*>(sock->data)->shared_from_this();
             self->on_read(read_failure);
--- a/src/gateway/target_client.h
+++ b/src/gateway/target_client.h
@@ -49,6 +49,7 @@
 
 struct target_client_options {
     duration connect_timeout = ms(350);  // several round trips between regions; a lost opening packet takes seconds
+    duration unacknowledged = ms(1500);  // several retransmissions between regions
     duration max_idle = ms(8000);        // unless the target states a shorter time
     std::size_t max_idle_per_target = 32;
 };
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -47,11 +47,11 @@
     ::setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
-void set_liveness(h2o_socket_t* socket) {
+void set_liveness(h2o_socket_t* socket, duration unacknowledged) {
     constexpr int idle_seconds = 1;
     constexpr int interval_seconds = 1;
     constexpr int probes = 2;
-    constexpr unsigned unacknowledged_ms = 1500;  // several retransmissions between regions
+    auto unacknowledged_ms = static_cast<unsigned>(unacknowledged.count());
     int on = 1;
     int descriptor = h2o_socket_get_fd(socket);
     ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -86,6 +86,7 @@
 class connection {
 public:
     h2o_socket_t* socket = nullptr;
+    duration unacknowledged;        // time after which the peer counts as dead
     std::string peer_id;            // of an accepted connection: known after its first frame
     std::uint64_t incarnation = 0;  // of the peer, as in its last frame; 0: not stated
     bool established = false;
@@ -93,7 +94,9 @@
     std::function<void(connection&)> on_closed;
     std::function<void()> on_established;  // of an outgoing connection
 
-    explicit connection(h2o_socket_t* socket) : socket(socket) { socket->data = this; }
+    connection(h2o_socket_t* socket, duration unacknowledged) : socket(socket), unacknowledged(unacknowledged) {
+        socket->data = this;
+    }
 
     ~connection() {
         if (this->socket != nullptr) {
@@ -107,7 +110,7 @@
     void start_reading() {
         this->established = true;
         set_no_delay(this->socket);
-        set_liveness(this->socket);
+        set_liveness(this->socket, this->unacknowledged);
         h2o_socket_read_start(this->socket, [](h2o_socket_t* sock, const char* failure) {
             auto& self = *static_cast<connection*>(sock->data);
             if (failure != nullptr) {
@@ -192,6 +195,7 @@
     std::string id;
     std::uint64_t incarnation = 0;
     peer_handler handler;
+    duration unacknowledged;  // of each connection
     metric_registry& metrics;
     std::map<wire::message, traffic_counters> traffic;  // of the types that have occurred
     prometheus::Counter& dropped;
@@ -205,8 +209,10 @@
     std::vector<std::unique_ptr<connection>> closing;  // destroyed on a later turn, outside their own callbacks
     std::uint64_t changes = 1;                         // of anything that route() depends on
 
-    impl(event_loop& loop, std::string cluster, std::string id, metric_registry& metrics, peer_handler handler)
-        : loop(loop), cluster(std::move(cluster)), id(std::move(id)), handler(std::move(handler)), metrics(metrics),
+    impl(event_loop& loop, std::string cluster, std::string id, metric_registry& metrics, peer_handler handler,
+         duration unacknowledged)
+        : loop(loop), cluster(std::move(cluster)), id(std::move(id)), handler(std::move(handler)),
+          unacknowledged(unacknowledged), metrics(metrics),
           dropped(metrics.counter("persimmongrade_peer_dropped_messages_total",
                                   "Messages dropped: no connection or full queue.")),
           corrupt(metrics.counter("persimmongrade_peer_corrupt_frames_total",
@@ -258,7 +264,7 @@
             this->schedule_reconnect(peer_id);
             return;
         }
-        entry.outgoing = std::make_unique<connection>(socket);
+        entry.outgoing = std::make_unique<connection>(socket, this->unacknowledged);
         entry.outgoing->peer_id = peer_id;
         entry.outgoing->on_readable = [this](connection& readable) { this->read_frames(readable); };
         entry.outgoing->on_established = [this] { ++this->changes; };
@@ -304,7 +310,7 @@
     }
 
     void accept(h2o_socket_t* socket) {
-        auto incoming = std::make_unique<connection>(socket);
+        auto incoming = std::make_unique<connection>(socket, this->unacknowledged);
         incoming->on_readable = [this](connection& readable) { this->read_frames(readable); };
         incoming->on_closed = [this](connection& closed) { this->accepted_closed(closed); };
         incoming->start_reading();
@@ -408,8 +414,9 @@
 };
 
 peer_transport::peer_transport(event_loop& loop, std::string cluster, std::string id, const ip_address& listen_address,
-                               metric_registry& metrics, peer_handler handler)
-    : state(std::make_unique<impl>(loop, std::move(cluster), std::move(id), metrics, std::move(handler))) {
+                               metric_registry& metrics, peer_handler handler, duration unacknowledged)
+    : state(std::make_unique<impl>(loop, std::move(cluster), std::move(id), metrics, std::move(handler),
+                                   unacknowledged)) {
     this->state->listener = open_listener(loop, listen_address);
     this->state->listener->data = this->state.get();
     h2o_socket_read_start(this->state->listener, [](h2o_socket_t* listener, const char* failure) {
--- /dev/null
+++ b/tests/fleet/test_fleet.cpp
@@ -0,0 +1,175 @@
+// Control processes that find each other, on one event loop, with targets and a gateway that this test plays.
+
+#include <catch2/catch.hpp>
+
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "persimmongrade/fleet_control.h"
+#include "persimmongrade/peer_transport.h"
+#include "persimmongrade/target_registry.h"
+
+using namespace persimmongrade;
+
+namespace {
+
+constexpr std::size_t members = 3;
+constexpr duration heartbeat = ms(200);  // of targets; silent after three and a half
+
+std::string address(std::size_t host, int port) {
+    int process = ::getpid();
+    return "127.12." + std::to_string(process % 250) + "." + std::to_string(host + 1) + ":" + std::to_string(port);
+}
+
+wire::target_report_t heartbeat_of(const std::string& id, std::uint64_t sequence) {
+    wire::target_report_t report;
+    report.id = id;
+    report.service = "orders";
+    report.address = "10.0.0.1:8000";
+    report.region = "north";
+    report.zone = "north-1";
+    report.slots = 4;
+    report.phase = wire::target_phase::ready;
+    report.sequence = sequence;
+    report.started_at_ms = 1000;
+    return report;
+}
+
+// A gateway that only learns targets, as the product's gateways do: it answers nothing, but names what it received.
+class listening_gateway {
+public:
+    listening_gateway(event_loop& loop, metric_registry& metrics)
+        : loop(loop), peers(loop, "test", "gateway", ip_address::parse(address(100, 7100)), metrics,
+                            [this](const wire::envelope_t& envelope) { this->receive(envelope); }) {
+        for (std::size_t i = 0; i < members; ++i) {
+            this->peers.add_peer(address(i, 7100), ip_address::parse(address(i, 7100)));
+        }
+        loop.every(ms(100), [this] { this->ping(); });
+    }
+
+    bool usable(const std::string& id) const {
+        const auto* known = this->targets.find(id);
+        return known != nullptr && known->usable();
+    }
+
+    target_registry targets;
+
+private:
+    void ping() {
+        for (std::size_t i = 0; i < members; ++i) {
+            wire::gateway_ping_t message;
+            message.address = "127.0.0.1:1";
+            message.region = "north";
+            message.zone = "north-1";
+            message.reports_number = this->numbers[i];
+            this->peers.send(address(i, 7100), message);
+        }
+    }
+
+    void receive(const wire::envelope_t& envelope) {
+        if (const auto* pong = envelope.body.Asgateway_pong()) {
+            for (std::size_t i = 0; i < members; ++i) {
+                if (pong->address == address(i, 7100)) {
+                    this->ids[envelope.from] = i;
+                }
+            }
+        }
+        if (const auto* reports = envelope.body.Astarget_reports()) {
+            auto from = this->ids.find(envelope.from);
+            if (from != this->ids.end()) {
+                this->numbers[from->second] = reports->number;
+            }
+            for (const auto& report : reports->reports) {
+                this->targets.merge(*report, this->loop.now());
+            }
+        }
+    }
+
+    event_loop& loop;
+    peer_transport peers;
+    std::map<std::string, std::size_t> ids;
+    std::uint64_t numbers[members] = {};
+};
+
+class deployment {
+public:
+    deployment() {
+        char name[] = "/tmp/persimmongrade-fleet-XXXXXX";
+        this->directory = ::mkdtemp(name);
+        for (std::size_t i = 0; i < members; ++i) {
+            wire::fleet_settings_t settings;
+            settings.cluster = "test";
+            settings.node = "control-" + std::to_string(i);
+            settings.region = "north";
+            settings.zone = "north-1";
+            settings.peer_address = address(i, 7100);
+            settings.control_http_address = address(i, 7200);
+            settings.heartbeat_ms = static_cast<std::uint32_t>(heartbeat.count());
+            settings.bootstrap = true;
+            settings.data_directory = this->directory + "/" + settings.node;
+            for (std::size_t seed = 0; seed < members; ++seed) {
+                settings.seeds.push_back(address(seed, 7200));
+            }
+            this->metrics.push_back(std::make_unique<metric_registry>());
+            this->control.push_back(std::make_unique<fleet_control>(this->loop, settings, *this->metrics.back()));
+        }
+        this->gateway = std::make_unique<listening_gateway>(this->loop, this->gateway_metrics);
+        this->loop.run_for(ms(2500));  // an election, and the first connections
+    }
+
+    ~deployment() {
+        this->control.clear();
+        std::filesystem::remove_all(this->directory);
+    }
+
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    event_loop loop;
+    std::vector<std::unique_ptr<metric_registry>> metrics;
+    std::vector<std::unique_ptr<fleet_control>> control;
+    metric_registry gateway_metrics;
+    std::unique_ptr<listening_gateway> gateway;
+    std::string directory;
+};
+
+}  // namespace
+
+// Guards against a control process that was frozen: the first thing it reads afterwards are heartbeats that waited in
+// its sockets. It took the targets for its own, missed their next reports, and told all gateways that they were silent,
+// while they reported to another process. Of one deployment's targets, 30% were unused from then on.
+TEST_CASE("old heartbeats at a control process that was frozen do not take a target out of use") {
+    deployment system;
+    std::uint64_t sequence = 9;
+    system.control[1]->report(heartbeat_of("t", sequence));
+    system.loop.run_for(ms(300));
+    REQUIRE(system.gateway->usable("t"));
+    sequence = 13;
+    system.control[1]->report(heartbeat_of("t", sequence));
+    system.loop.run_for(ms(100));
+    system.control[0]->report(heartbeat_of("t", 11));  // waited in a socket for two heartbeats
+    std::size_t unusable = 0;
+    for (int beat = 0; beat < 10; ++beat) {
+        system.loop.run_for(heartbeat);
+        system.control[1]->report(heartbeat_of("t", ++sequence));
+        unusable += system.gateway->usable("t") ? 0 : 1;
+    }
+    CHECK(unusable == 0);
+}
+
+TEST_CASE("a target that stops reporting is told to gateways as silent, and as back with its next report") {
+    deployment system;
+    system.control[1]->report(heartbeat_of("t", 1));
+    system.loop.run_for(ms(300));
+    REQUIRE(system.gateway->usable("t"));
+    system.loop.run_for(heartbeat * 6);
+    CHECK_FALSE(system.gateway->usable("t"));
+    system.control[2]->report(heartbeat_of("t", 2));
+    system.loop.run_for(ms(300));
+    CHECK(system.gateway->usable("t"));
+}
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -342,6 +342,45 @@
     CHECK(missed == 0);
 }
 
+// Guards against taking a busy reader for a dead one: a process that reads a large configuration leaves its buffers
+// full for seconds. The connection ended after 1.5 s, so that such a configuration never arrived.
+TEST_CASE("a peer that does not read for seconds keeps its connection") {
+    constexpr std::size_t parts = 16;
+    constexpr std::size_t part_bytes = 1'000'000;
+    event_loop loop;
+    metric_registry metrics;
+    peer_transport a(loop, "test", "a", test_address(8022), metrics, [](const wire::envelope_t&) {});
+    sockaddr_storage address{};
+    socklen_t length = test_address(8023).to_sockaddr(address);
+    int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
+    REQUIRE(::listen(listener, 1) == 0);
+    a.add_peer("b", test_address(8023));
+    loop.run_for(ms(50));
+    int reader = ::accept(listener, nullptr, nullptr);
+    REQUIRE(reader >= 0);
+    for (std::size_t i = 0; i < parts; ++i) {
+        wire::config_part_t part;
+        part.data.assign(part_bytes, 'x');
+        REQUIRE(a.send("b", std::move(part)));
+    }
+    loop.run_for(ms(4000));
+    std::vector<char> buffer(1'000'000);
+    std::size_t received = 0;
+    for (int step = 0; step < 2000 && received < parts * part_bytes; ++step) {
+        loop.run_for(ms(1));
+        ssize_t count = ::recv(reader, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (count == 0 || (count < 0 && errno != EAGAIN)) {
+            break;
+        }
+        received += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    CHECK(received >= parts * part_bytes);
+    CHECK(a.connected("b"));
+    ::close(reader);
+    ::close(listener);
+}
+
 // A write from a timer right after a completed partial write left h2o polling a socket without a write: it aborted the
 // process ("write_pending") when the socket became writable again. Seen on a leader that sent 18 MB to a new member.
 // The reader takes small steps, so that the partial write ends while the socket is still too full to count as writable.
