Return requests that regions send each other; ping until items are known

The share now falls by a quarter of a step unless a difference keeps it up.

Cause 2: a gateway that starts pinged every 300 ms, and a first connection to a host without power took 700 ms to fail. Now 60 ms until items are known, and 250 ms. Test: test_fleet, 303 ms to the first items before, under 250 ms after.

--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -32,10 +32,14 @@
 inline constexpr std::size_t max_send_queue_bytes = 32u << 20;  // per connection; further messages are dropped
 inline constexpr std::size_t frame_header_bytes = 12;
 
-// How long sent bytes may stay unacknowledged before a connection counts as dead. A peer that does not read while its
-// buffers are full is ended as well, so processes that exchange megabytes need the longer one.
-inline constexpr duration patient_peer_limit = ms(10000);  // several times what reading the largest frame takes
-inline constexpr duration quick_peer_limit = ms(1500);     // several retransmissions between regions
+// When a connection counts as dead. A peer that does not read while its buffers are full acknowledges nothing either,
+// so processes that exchange megabytes need the patient times.
+struct peer_patience {
+    duration connect;         // until a connection must be established
+    duration unacknowledged;  // how long sent bytes may stay without acknowledgement
+};
+inline constexpr peer_patience patient_peers{ms(700), ms(10000)};  // several times what reading the largest frame takes
+inline constexpr peer_patience quick_peers{ms(250), ms(1500)};     // several round trips between regions
 
 // Outcome of decoding the bytes received so far.
 enum class frame_status : std::uint8_t { complete, incomplete, corrupt };
@@ -55,7 +59,7 @@
 public:
     // Throws socket_error when the address cannot be bound.
     peer_transport(event_loop& loop, std::string cluster, std::string id, const ip_address& listen_address,
-                   metric_registry& metrics, peer_handler handler, duration unacknowledged = patient_peer_limit);
+                   metric_registry& metrics, peer_handler handler, const peer_patience& patience = patient_peers);
     ~peer_transport();
     peer_transport(const peer_transport&) = delete;
     peer_transport& operator=(const peer_transport&) = delete;
--- a/include/persimmongrade/region_share.h
+++ b/include/persimmongrade/region_share.h
@@ -4,6 +4,10 @@
 // that move from region to region. The share follows the difference of utilization slowly, because every request that
 // changes its region finds targets that are cold for its object and the load of a region must not swing.
 //
+// Regions that are loaded alike may send each other requests, left from an earlier difference. That serves nobody: each
+// object is then warm at more targets than it needs. The share therefore falls, more slowly, unless a difference keeps
+// it up.
+//
 //     region_share share({.max_shift = 0.15});
 //     share.start(0.4);                               // from the slots of the regions, before any load is known
 //     share.update(now, local_load, remote_load);     // at most every update_interval
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -259,10 +259,10 @@
     double remote_load = 0;
     double remote_slots = 0;
     for (const target_state* target : state.targets) {
+        bool local = target->view.region == this->options.region;
         if (target->unreachable_at || now < target->view.cold_until) {
             continue;
         }
-        bool local = target->view.region == this->options.region;
         (local ? local_load : remote_load) += this->load(*target, now);
         own_load += local ? static_cast<double>(target->sent.size()) : 0;
         (local ? local_slots : remote_slots) += target->view.slots;
--- a/src/admission/region_share.cpp
+++ b/src/admission/region_share.cpp
@@ -8,6 +8,7 @@
 
 constexpr double used_part = 0.6;         // of the permitted change, since several services and gateways add up
 constexpr double least_difference = 0.1;  // of utilization, below which moving a request gains nothing
+constexpr double return_part = 0.25;      // of a step, by which the share falls while no difference keeps it up
 
 }  // namespace
 
@@ -24,6 +25,8 @@
     } else if (local_utilization < this->options.low_utilization ||
                remote_utilization > local_utilization + least_difference) {
         this->share = std::max(0.0, this->share - step);
+    } else if (local_utilization < remote_utilization + least_difference / 2) {
+        this->share = std::max(0.0, this->share - step * return_part);
     }
 }
 
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -99,7 +99,7 @@
           log(*this, log_options(), this->data_options(), loop.now()),
           peers(
               loop, settings.cluster, this->log.id(), ip_address::parse(settings.peer_address), metrics,
-              [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peer_limit),
+              [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peers),
           orders_accepted(
               metrics.counter("persimmongrade_orders_total", "Orders of operators.", {{"outcome", "accepted"}})),
           orders_refused(
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "persimmongrade/event_log.h"
 
@@ -11,10 +12,11 @@
 namespace {
 
 constexpr duration ping_interval = ms(300);
-constexpr duration source_silence = ms(700);   // two missed answers: changes must be in force within two seconds
-constexpr duration source_lag = ms(900);       // several hundred items take less over a link of 5 Mbit/s
-constexpr duration silence = ms(1000);         // three missed answers: the connection may be dead without a reset
-constexpr duration member_memory = ms(15000);  // a control process that left the log is dropped after this
+constexpr duration first_ping_interval = ms(60);  // until items are known: no request can be served before
+constexpr duration source_silence = ms(700);      // two missed answers: changes must be in force within two seconds
+constexpr duration source_lag = ms(900);          // several hundred items take less over a link of 5 Mbit/s
+constexpr duration silence = ms(1000);            // three missed answers: the connection may be dead without a reset
+constexpr duration member_memory = ms(15000);     // a control process that left the log is dropped after this
 
 std::string gateway_id(const wire::fleet_settings_t& settings) {
     // Unique for each start, so that control processes keep nothing of an earlier one.
@@ -30,9 +32,16 @@
     : loop(loop), settings(given), items(items), targets(targets), on_news(std::move(on_news)),
       peers(
           loop, given.cluster, gateway_id(given), ip_address::parse(given.peer_address), metrics,
-          [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peer_limit) {
+          [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peers) {
     this->set_seeds(given.seeds);
     loop.every(ping_interval, [this] { this->ping_all(); });
+    this->first_pings = loop.every(first_ping_interval, [this] {
+        if (this->items.empty()) {
+            this->ping_all();
+        } else {
+            this->loop.cancel(std::exchange(this->first_pings, 0));
+        }
+    });
 }
 
 void control_link::set_seeds(const std::vector<std::string>& http_addresses) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -72,6 +72,7 @@
     bool serving = false;
     std::string source;         // peer address of the control process that sends items
     time_point behind_since{};  // since when a control process knows more; zero: none does
+    timer_id first_pings = 0;
     peer_transport peers;
 };
 
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -21,7 +21,6 @@
 
 constexpr duration first_reconnect_delay = ms(20);
 constexpr duration max_reconnect_delay = ms(500);
-constexpr duration connect_timeout = ms(700);
 
 template <typename Number>
 void append_little_endian(std::string& out, Number value) {
@@ -195,7 +194,7 @@
     std::string id;
     std::uint64_t incarnation = 0;
     peer_handler handler;
-    duration unacknowledged;  // of each connection
+    peer_patience patience;
     metric_registry& metrics;
     std::map<wire::message, traffic_counters> traffic;  // of the types that have occurred
     prometheus::Counter& dropped;
@@ -210,11 +209,10 @@
     std::uint64_t changes = 1;                         // of anything that route() depends on
 
     impl(event_loop& loop, std::string cluster, std::string id, metric_registry& metrics, peer_handler handler,
-         duration unacknowledged)
-        : loop(loop), cluster(std::move(cluster)), id(std::move(id)), handler(std::move(handler)),
-          unacknowledged(unacknowledged), metrics(metrics),
-          dropped(metrics.counter("persimmongrade_peer_dropped_messages_total",
-                                  "Messages dropped: no connection or full queue.")),
+         const peer_patience& patience)
+        : loop(loop), cluster(std::move(cluster)), id(std::move(id)), handler(std::move(handler)), patience(patience),
+          metrics(metrics), dropped(metrics.counter("persimmongrade_peer_dropped_messages_total",
+                                                    "Messages dropped: no connection or full queue.")),
           corrupt(metrics.counter("persimmongrade_peer_corrupt_frames_total",
                                   "Frames with a bad length, checksum or content.")),
           stale(metrics.counter("persimmongrade_peer_stale_messages_total",
@@ -264,7 +262,7 @@
             this->schedule_reconnect(peer_id);
             return;
         }
-        entry.outgoing = std::make_unique<connection>(socket, this->unacknowledged);
+        entry.outgoing = std::make_unique<connection>(socket, this->patience.unacknowledged);
         entry.outgoing->peer_id = peer_id;
         entry.outgoing->on_readable = [this](connection& readable) { this->read_frames(readable); };
         entry.outgoing->on_established = [this] { ++this->changes; };
@@ -274,7 +272,7 @@
                 this->outgoing_closed(peer_id);
             }
         };
-        entry.connect_timer = this->loop.after(connect_timeout, [this, peer_id] {
+        entry.connect_timer = this->loop.after(this->patience.connect, [this, peer_id] {
             auto found = this->peers.find(peer_id);
             if (found != this->peers.end() && found->second.outgoing && !found->second.outgoing->established) {
                 this->outgoing_closed(peer_id);
@@ -310,7 +308,7 @@
     }
 
     void accept(h2o_socket_t* socket) {
-        auto incoming = std::make_unique<connection>(socket, this->unacknowledged);
+        auto incoming = std::make_unique<connection>(socket, this->patience.unacknowledged);
         incoming->on_readable = [this](connection& readable) { this->read_frames(readable); };
         incoming->on_closed = [this](connection& closed) { this->accepted_closed(closed); };
         incoming->start_reading();
@@ -414,9 +412,8 @@
 };
 
 peer_transport::peer_transport(event_loop& loop, std::string cluster, std::string id, const ip_address& listen_address,
-                               metric_registry& metrics, peer_handler handler, duration unacknowledged)
-    : state(std::make_unique<impl>(loop, std::move(cluster), std::move(id), metrics, std::move(handler),
-                                   unacknowledged)) {
+                               metric_registry& metrics, peer_handler handler, const peer_patience& patience)
+    : state(std::make_unique<impl>(loop, std::move(cluster), std::move(id), metrics, std::move(handler), patience)) {
     this->state->listener = open_listener(loop, listen_address);
     this->state->listener->data = this->state.get();
     h2o_socket_read_start(this->state->listener, [](h2o_socket_t* listener, const char* failure) {
--- a/tests/fleet/test_fleet.cpp
+++ b/tests/fleet/test_fleet.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "control_link.h"
 #include "persimmongrade/fleet_control.h"
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/target_registry.h"
@@ -173,3 +174,40 @@
     system.loop.run_for(ms(300));
     CHECK(system.gateway->usable("t"));
 }
+
+// Until items are known, a gateway that was just started refuses every request.
+TEST_CASE("a gateway that starts beside running control processes has items within a fraction of a second") {
+    deployment system;
+    wire::item_batch_t batch;
+    batch.digest = 1;
+    auto item = std::make_unique<wire::item_t>();
+    item->kind = wire::item_kind::service;
+    item->name = "orders";
+    item->version = 1;
+    item->service = std::make_unique<wire::service_rule_t>();
+    batch.items.push_back(std::move(item));
+    std::size_t accepted = 0;
+    for (auto& control : system.control) {
+        control->submit(
+            batch, [&](const order_result& result) { accepted += result.status == order_status::accepted ? 1 : 0; });
+    }
+    system.loop.run_for(ms(500));
+    REQUIRE(accepted == 1);  // by the leader
+    wire::fleet_settings_t settings;
+    settings.cluster = "test";
+    settings.node = "gateway-1";
+    settings.region = "north";
+    settings.zone = "north-1";
+    settings.peer_address = address(101, 7100);
+    settings.front_address = address(101, 7200);
+    settings.seeds = {address(0, 7200), address(1, 7200), address(2, 7200)};
+    item_store items;
+    target_registry targets;
+    metric_registry metrics;
+    control_link link(system.loop, settings, metrics, items, targets, [](const control_news&) {});
+    time_point began = system.loop.now();
+    while (items.empty() && system.loop.now() - began < ms(2000)) {
+        system.loop.run_for(ms(5));
+    }
+    CHECK(system.loop.now() - began < ms(250));
+}
