Guess work from the aim until answers tell; try quick peers again within 80 ms

Cause: at the start and after a loss of power a gateway guessed 250 ms of work where targets take 1400 to 2000 for an object they do not have. The aim of the route is now the guess, and the first answer counts half. Tests: test_dispatcher, two cases, both fail before.

Gateways and control processes that are not found try again within 80 ms instead of up to 500.

--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -182,7 +182,9 @@
         double likely_ms = 0;
         double unknown_ms = 0;
         double mean_ms = 0;
+        double prior_ms = 0;  // taken for an unknown object until answers tell
 
+        void learn(object_state state, double took_ms);
         double& mean_of(object_state state);
         double expected(object_state state) const;
         double mean() const;
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -22,7 +22,8 @@
 constexpr double prior_shape = 2;                // how much the loads of the targets of a region differ; 1 is widely
 constexpr double least_prior_load = 0.5;         // requests
 constexpr double first_others_share = 0.5;       // of the slots, used by other gateways until reports tell
-constexpr double first_work_ms = 250;            // until answers tell
+constexpr double first_work_ms = 250;            // until answers tell, for requests without an aim
+constexpr double first_answer_weight = 0.5;      // against the guess before it: it may be a refusal of the service
 constexpr double first_known_share = 0.3;        // of the work, for a known object, until answers tell
 constexpr double slow_factor = 1.5;              // of the longest work, beyond which a target is slow for any object
 constexpr double least_slowness = 0.3;
@@ -108,7 +109,10 @@
 // Guesses from the other times where no answer has told yet.
 double dispatcher::work_times::expected(object_state state) const {
     double longest = std::max({this->unknown_ms, this->likely_ms, this->known_ms});
-    double unknown = this->unknown_ms > 0 ? this->unknown_ms : longest > 0 ? longest : first_work_ms;
+    double unknown = this->unknown_ms > 0 ? this->unknown_ms
+                     : longest > 0        ? longest
+                     : this->prior_ms > 0 ? this->prior_ms
+                                          : first_work_ms;
     double known = this->known_ms > 0 ? this->known_ms : unknown * first_known_share;
     switch (state) {
     case object_state::known:
@@ -124,6 +128,13 @@
     return unknown;
 }
 
+void dispatcher::work_times::learn(object_state state, double took_ms) {
+    double guess = this->expected(state);
+    double& learned = this->mean_of(state);
+    learned =
+        learned == 0 ? guess + (took_ms - guess) * first_answer_weight : learned + (took_ms - learned) * work_weight;
+}
+
 double dispatcher::work_times::mean() const {
     return this->mean_ms > 0 ? this->mean_ms : this->expected(object_state::likely);
 }
@@ -429,6 +440,11 @@
         this->start_share(state);
     }
     state.arrivals.add(now);
+    if (state.work.prior_ms == 0) {
+        // What operators aim at is near what the work takes. A guess far below it made every target look overdue until
+        // the first answers, so that each object was sent to several targets that did not have it.
+        state.work.prior_ms = std::max(0.0, ms_between(now, request.aim_at));
+    }
     double left = ms_between(now, request.deadline_at);
     bool any = std::any_of(state.targets.begin(), state.targets.end(),
                            [&](const target_state* target) { return this->usable(*target, request, now); });
@@ -558,11 +574,12 @@
     double distance = target.view.region == this->options.region ? 0 : remote_ms;
     double took = std::max(1.0, took_ms - distance);
     work_times& work = state.work;
-    average(work.mean_ms, took, work_weight);
+    double before = work.mean();
+    work.mean_ms = before + (took - before) * (work.mean_ms == 0 ? first_answer_weight : work_weight);
     target.region->half_life_ms = std::max(least_half_life_ms, work.mean_ms);
     if (sent.slot_was_free && now >= target.view.cold_until) {
-        double& mean = work.mean_of(sent.state);
-        average(mean, took, work_weight);
+        work.learn(sent.state, took);
+        double mean = work.mean_of(sent.state);
         // Whether an object was warm is certain only for a known one; others tell nothing about the target's speed.
         bool comparable = sent.state == object_state::known || sent.object == 0;
         bool slow = took > slow_factor * work.expected(object_state::unknown);
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr duration first_reconnect_delay = ms(20);
-constexpr duration max_reconnect_delay = ms(500);
 
 template <typename Number>
 void append_little_endian(std::string& out, Number value) {
@@ -296,7 +295,7 @@
     void schedule_reconnect(const std::string& peer_id) {
         peer& entry = this->peers.at(peer_id);
         entry.reconnect_timer = this->loop.after(entry.reconnect_delay, [this, peer_id] { this->connect(peer_id); });
-        entry.reconnect_delay = std::min(entry.reconnect_delay * 2, max_reconnect_delay);
+        entry.reconnect_delay = std::min(entry.reconnect_delay * 2, this->patience.reconnect);
     }
 
     void reconnect(const std::string& peer_id) {
--- a/tests/admission/test_dispatcher.cpp
+++ b/tests/admission/test_dispatcher.cpp
@@ -114,6 +114,38 @@
     CHECK(decisions.poll(start + ms(20)).at(0).target == lost);
 }
 
+// The start of a deployment, or of gateways after a loss of power: no answer has told yet how long the work takes. A
+// guess far below it made targets look overdue, and each object was sent to several targets that did not have it.
+TEST_CASE("before the first answers, an object stays with one target for as long as its route aims at") {
+    dispatcher decisions({.region = "north"});
+    for (int i = 0; i < 4; ++i) {
+        decisions.set_target(target_of(std::to_string(i), "north", 6), start);
+    }
+    std::set<std::string> used;
+    for (request_id id = 1; id <= 4; ++id) {
+        time_point now = start + ms(200) * static_cast<int>(id);
+        dispatch_request request = request_of(id, 5);
+        request.aim_at = now + ms(1000);
+        request.deadline_at = now + ms(4000);
+        decisions.add(request, now);
+        for (const auto& action : decisions.poll(now)) {
+            used.insert(action.target);
+        }
+    }
+    CHECK(used.size() == 1);
+}
+
+TEST_CASE("one answer without work does not decide what work takes") {
+    dispatcher decisions({.region = "north"});
+    decisions.set_target(target_of("a", "north", 6), start);
+    dispatch_request request = request_of(1);
+    request.aim_at = start + ms(1000);
+    decisions.add(request, start);
+    REQUIRE(decisions.poll(start).size() == 1);
+    decisions.finished(1, "a", target_result::answered, std::nullopt, start + ms(1));
+    CHECK(decisions.beliefs().at(0).unknown_ms > 250);
+}
+
 TEST_CASE("a cold target gets its quota in any second, and none from another region") {
     dispatcher decisions({.region = "north"});
     auto cold = target_of("a", "north", 100);
