--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -120,6 +120,8 @@
     double known_ms = 0;  // expected work by state of the object
     double likely_ms = 0;
     double unknown_ms = 0;
+
+    bool operator==(const service_beliefs&) const = default;
 };
 
 class dispatcher {
--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -38,6 +38,8 @@
     duration connect;         // until a connection must be established
     duration reconnect;       // longest pause between two attempts
     duration unacknowledged;  // how long sent bytes may stay without acknowledgement
+
+    bool operator==(const peer_patience&) const = default;
 };
 // Several times what reading the largest frame takes.
 inline constexpr peer_patience patient_peers{ms(700), ms(500), ms(10000)};
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -441,8 +441,8 @@
     }
     state.arrivals.add(now);
     if (state.work.prior_ms == 0) {
-        // What operators aim at is near what the work takes. A guess far below it made every target look overdue until
-        // the first answers, so that each object was sent to several targets that did not have it.
+        // What operators aim at is near what the work takes. A guess far below it would make every target look overdue
+        // until the first answers, and send each object to several targets that do not have it.
         state.work.prior_ms = std::max(0.0, ms_between(now, request.aim_at));
     }
     double left = ms_between(now, request.deadline_at);
