Join twins of the change: learned work, hash fractions, played gateways and readers

No change of behaviour: - learned work was averaged in two formulas beside average(): one learn_work() serves the means by object and over all - position of a hash in [0, 1] stood in region_share and weighted_split: hash_fraction() - test_fleet played a gateway by hand; the product's control_link serves all its cases now - two tests of test_net opened the same listening socket: raw_listener - removed, used nowhere: dispatch_action::object, control_link::known()

--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -91,7 +91,6 @@
     refusal_cause cause = refusal_cause::none;
     duration retry_after{};   // of a refusal
     double predicted_ms = 0;  // until the answer
-    object_state object = object_state::unknown;
 };
 
 enum class target_result : std::uint8_t {
@@ -186,7 +185,6 @@
         double mean_ms = 0;
         double prior_ms = 0;  // taken for an unknown object until answers tell
 
-        void learn(object_state state, double took_ms);
         double& mean_of(object_state state);
         double expected(object_state state) const;
         double mean() const;
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -23,7 +23,7 @@
 constexpr double least_prior_load = 0.5;         // requests
 constexpr double first_others_share = 0.5;       // of the slots, used by other gateways until reports tell
 constexpr double first_work_ms = 250;            // until answers tell, for requests without an aim
-constexpr double first_answer_weight = 0.5;      // against the guess before it: it may be a refusal of the service
+constexpr double first_answer_weight = 0.5;      // against the guess before it
 constexpr double first_known_share = 0.3;        // of the work, for a known object, until answers tell
 constexpr double slow_factor = 1.5;              // of the longest work, beyond which a target is slow for any object
 constexpr double least_slowness = 0.3;
@@ -74,6 +74,11 @@
     mean = mean == 0 ? sample : mean + (sample - mean) * weight;
 }
 
+// The first answer, which may be a refusal of the service, does not replace what was guessed before it.
+void learn_work(double& learned, double guess, double took_ms) {
+    average(learned, learned == 0 ? guess + (took_ms - guess) * first_answer_weight : took_ms, work_weight);
+}
+
 bool contains(const std::vector<std::string>& list, const std::string& value) {
     return std::find(list.begin(), list.end(), value) != list.end();
 }
@@ -128,13 +133,6 @@
     return unknown;
 }
 
-void dispatcher::work_times::learn(object_state state, double took_ms) {
-    double guess = this->expected(state);
-    double& learned = this->mean_of(state);
-    learned =
-        learned == 0 ? guess + (took_ms - guess) * first_answer_weight : learned + (took_ms - learned) * work_weight;
-}
-
 double dispatcher::work_times::mean() const {
     return this->mean_ms > 0 ? this->mean_ms : this->expected(object_state::likely);
 }
@@ -270,10 +268,10 @@
     double remote_load = 0;
     double remote_slots = 0;
     for (const target_state* target : state.targets) {
-        bool local = target->view.region == this->options.region;
         if (target->unreachable_at || now < target->view.cold_until) {
             continue;
         }
+        bool local = target->view.region == this->options.region;
         (local ? local_load : remote_load) += this->load(*target, now);
         own_load += local ? static_cast<double>(target->sent.size()) : 0;
         (local ? local_slots : remote_slots) += target->view.slots;
@@ -431,7 +429,7 @@
 dispatch_action dispatcher::refuse(const dispatch_request& request, refusal_cause cause, double wait_ms) {
     double spread = std::uniform_real_distribution<double>(0.5, 1.5)(this->random);
     double retry = std::clamp(wait_ms * spread, least_retry_ms, most_retry_ms);
-    return {request.id, {}, cause, ms(std::llround(retry)), wait_ms, object_state::unknown};
+    return {request.id, {}, cause, ms(std::llround(retry)), wait_ms};
 }
 
 void dispatcher::add(const dispatch_request& request, time_point now) {
@@ -559,7 +557,7 @@
         bool free = this->load(target, now) < target.view.slots;
         state.local_sent += local ? 1 : 0;
         target.sent[request.id] = {now, request.object, best.answer_ms, best.object, free};
-        actions.push_back({request.id, target.view.id, refusal_cause::none, {}, best.answer_ms, best.object});
+        actions.push_back({request.id, target.view.id, refusal_cause::none, {}, best.answer_ms});
         place = this->take_out(place);
     }
     for (auto& [key, request] : turned_late) {
@@ -574,12 +572,11 @@
     double distance = target.view.region == this->options.region ? 0 : remote_ms;
     double took = std::max(1.0, took_ms - distance);
     work_times& work = state.work;
-    double before = work.mean();
-    work.mean_ms = before + (took - before) * (work.mean_ms == 0 ? first_answer_weight : work_weight);
+    learn_work(work.mean_ms, work.mean(), took);
     target.region->half_life_ms = std::max(least_half_life_ms, work.mean_ms);
     if (sent.slot_was_free && now >= target.view.cold_until) {
-        work.learn(sent.state, took);
-        double mean = work.mean_of(sent.state);
+        double& mean = work.mean_of(sent.state);
+        learn_work(mean, work.expected(sent.state), took);
         // Whether an object was warm is certain only for a known one; others tell nothing about the target's speed.
         bool comparable = sent.state == object_state::known || sent.object == 0;
         bool slow = took > slow_factor * work.expected(object_state::unknown);
--- a/src/admission/region_share.cpp
+++ b/src/admission/region_share.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "hash_fraction.h"
+
 namespace persimmongrade {
 
 namespace {
@@ -31,8 +33,7 @@
 }
 
 bool region_share::is_remote(std::uint64_t hash) const {
-    constexpr double range = 18446744073709551616.0;  // 2^64
-    return static_cast<double>(hash) / range < this->share;
+    return hash_fraction(hash) < this->share;
 }
 
 }  // namespace persimmongrade
--- a/src/admission/weighted_split.cpp
+++ b/src/admission/weighted_split.cpp
@@ -3,6 +3,8 @@
 #include <numeric>
 #include <utility>
 
+#include "hash_fraction.h"
+
 namespace persimmongrade {
 
 namespace {
@@ -24,8 +26,7 @@
     if (this->shares.size() == 1) {
         return 0;
     }
-    constexpr double range = 18446744073709551616.0;  // 2^64
-    double position = static_cast<double>(object_hash) / range;
+    double position = hash_fraction(object_hash);
     std::size_t part = 0;
     for (double sum = this->shares[0]; position >= sum && part + 1 < this->shares.size(); sum += this->shares[part]) {
         ++part;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -35,7 +35,6 @@
     void set_seeds(const std::vector<std::string>& http_addresses);
     unsigned gateways_in_region() const;          // the most that any control process counts lately
     std::size_t answering(time_point now) const;  // control processes that answered lately
-    std::size_t known() const noexcept { return this->contacts.size(); }
     // Gateways that take clients, as at least half of the control processes in touch see it.
     std::vector<wire::gateway_info_t> gateways(time_point now) const;
 
--- a/tests/fleet/test_fleet.cpp
+++ b/tests/fleet/test_fleet.cpp
@@ -12,7 +12,7 @@
 
 #include "control_link.h"
 #include "persimmongrade/fleet_control.h"
-#include "persimmongrade/peer_transport.h"
+#include "persimmongrade/item_store.h"
 #include "persimmongrade/target_registry.h"
 
 using namespace persimmongrade;
@@ -27,6 +27,14 @@
     return "127.12." + std::to_string(process % 250) + "." + std::to_string(host + 1) + ":" + std::to_string(port);
 }
 
+std::vector<std::string> control_addresses() {
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < members; ++i) {
+        addresses.push_back(address(i, 7200));
+    }
+    return addresses;
+}
+
 wire::target_report_t heartbeat_of(const std::string& id, std::uint64_t sequence) {
     wire::target_report_t report;
     report.id = id;
@@ -41,60 +49,34 @@
     return report;
 }
 
-// A gateway that only learns targets, as the product's gateways do: it answers nothing, but names what it received.
-class listening_gateway {
+// A gateway as far as control processes see it. `host` is the last part of its address.
+class linked_gateway {
 public:
-    listening_gateway(event_loop& loop, metric_registry& metrics)
-        : loop(loop), peers(loop, "test", "gateway", ip_address::parse(address(100, 7100)), metrics,
-                            [this](const wire::envelope_t& envelope) { this->receive(envelope); }) {
-        for (std::size_t i = 0; i < members; ++i) {
-            this->peers.add_peer(address(i, 7100), ip_address::parse(address(i, 7100)));
-        }
-        loop.every(ms(100), [this] { this->ping(); });
-    }
+    linked_gateway(event_loop& loop, std::size_t host)
+        : link(loop, settings_of(host), this->metrics, this->items, this->targets, [](const control_news&) {}) {}
 
     bool usable(const std::string& id) const {
         const auto* known = this->targets.find(id);
         return known != nullptr && known->usable();
     }
 
-    target_registry targets;
+    item_store items;
 
 private:
-    void ping() {
-        for (std::size_t i = 0; i < members; ++i) {
-            wire::gateway_ping_t message;
-            message.address = "127.0.0.1:1";
-            message.region = "north";
-            message.zone = "north-1";
-            message.reports_number = this->numbers[i];
-            this->peers.send(address(i, 7100), message);
-        }
+    static wire::fleet_settings_t settings_of(std::size_t host) {
+        wire::fleet_settings_t settings;
+        settings.cluster = "test";
+        settings.region = "north";
+        settings.zone = "north-1";
+        settings.peer_address = address(host, 7100);
+        settings.front_address = address(host, 7200);
+        settings.seeds = control_addresses();
+        return settings;
     }
 
-    void receive(const wire::envelope_t& envelope) {
-        if (const auto* pong = envelope.body.Asgateway_pong()) {
-            for (std::size_t i = 0; i < members; ++i) {
-                if (pong->address == address(i, 7100)) {
-                    this->ids[envelope.from] = i;
-                }
-            }
-        }
-        if (const auto* reports = envelope.body.Astarget_reports()) {
-            auto from = this->ids.find(envelope.from);
-            if (from != this->ids.end()) {
-                this->numbers[from->second] = reports->number;
-            }
-            for (const auto& report : reports->reports) {
-                this->targets.merge(*report, this->loop.now());
-            }
-        }
-    }
-
-    event_loop& loop;
-    peer_transport peers;
-    std::map<std::string, std::size_t> ids;
-    std::uint64_t numbers[members] = {};
+    metric_registry metrics;
+    target_registry targets;
+    control_link link;
 };
 
 class deployment {
@@ -113,13 +95,11 @@
             settings.heartbeat_ms = static_cast<std::uint32_t>(heartbeat.count());
             settings.bootstrap = true;
             settings.data_directory = this->directory + "/" + settings.node;
-            for (std::size_t seed = 0; seed < members; ++seed) {
-                settings.seeds.push_back(address(seed, 7200));
-            }
+            settings.seeds = control_addresses();
             this->metrics.push_back(std::make_unique<metric_registry>());
             this->control.push_back(std::make_unique<fleet_control>(this->loop, settings, *this->metrics.back()));
         }
-        this->gateway = std::make_unique<listening_gateway>(this->loop, this->gateway_metrics);
+        this->gateway = std::make_unique<linked_gateway>(this->loop, 100);
         this->loop.run_for(ms(2500));  // an election, and the first connections
     }
 
@@ -134,8 +114,7 @@
     event_loop loop;
     std::vector<std::unique_ptr<metric_registry>> metrics;
     std::vector<std::unique_ptr<fleet_control>> control;
-    metric_registry gateway_metrics;
-    std::unique_ptr<listening_gateway> gateway;
+    std::unique_ptr<linked_gateway> gateway;
     std::string directory;
 };
 
@@ -193,20 +172,9 @@
     }
     system.loop.run_for(ms(500));
     REQUIRE(accepted == 1);  // by the leader
-    wire::fleet_settings_t settings;
-    settings.cluster = "test";
-    settings.node = "gateway-1";
-    settings.region = "north";
-    settings.zone = "north-1";
-    settings.peer_address = address(101, 7100);
-    settings.front_address = address(101, 7200);
-    settings.seeds = {address(0, 7200), address(1, 7200), address(2, 7200)};
-    item_store items;
-    target_registry targets;
-    metric_registry metrics;
-    control_link link(system.loop, settings, metrics, items, targets, [](const control_news&) {});
+    linked_gateway started(system.loop, 101);
     time_point began = system.loop.now();
-    while (items.empty() && system.loop.now() - began < ms(2000)) {
+    while (started.items.empty() && system.loop.now() - began < ms(2000)) {
         system.loop.run_for(ms(5));
     }
     CHECK(system.loop.now() - began < ms(250));
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -342,6 +342,35 @@
     CHECK(missed == 0);
 }
 
+// A peer that reads only what the test reads. Closes its sockets at its end.
+class raw_listener {
+public:
+    explicit raw_listener(const ip_address& address) {
+        sockaddr_storage storage{};
+        socklen_t length = address.to_sockaddr(storage);
+        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&storage), length) == 0);
+        REQUIRE(::listen(this->listener, 1) == 0);
+    }
+
+    ~raw_listener() {
+        ::close(this->accepted);
+        ::close(this->listener);
+    }
+
+    raw_listener(const raw_listener&) = delete;
+    raw_listener& operator=(const raw_listener&) = delete;
+
+    int accept() {
+        this->accepted = ::accept(this->listener, nullptr, nullptr);
+        REQUIRE(this->accepted >= 0);
+        return this->accepted;
+    }
+
+private:
+    int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    int accepted = -1;
+};
+
 // Guards against taking a busy reader for a dead one: a process that reads a large configuration leaves its buffers
 // full for seconds. The connection ended after 1.5 s, so that such a configuration never arrived.
 TEST_CASE("a peer that does not read for seconds keeps its connection") {
@@ -350,15 +379,10 @@
     event_loop loop;
     metric_registry metrics;
     peer_transport a(loop, "test", "a", test_address(8022), metrics, [](const wire::envelope_t&) {});
-    sockaddr_storage address{};
-    socklen_t length = test_address(8023).to_sockaddr(address);
-    int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
-    REQUIRE(::listen(listener, 1) == 0);
+    raw_listener b(test_address(8023));
     a.add_peer("b", test_address(8023));
     loop.run_for(ms(50));
-    int reader = ::accept(listener, nullptr, nullptr);
-    REQUIRE(reader >= 0);
+    int reader = b.accept();
     for (std::size_t i = 0; i < parts; ++i) {
         wire::config_part_t part;
         part.data.assign(part_bytes, 'x');
@@ -377,8 +401,6 @@
     }
     CHECK(received >= parts * part_bytes);
     CHECK(a.connected("b"));
-    ::close(reader);
-    ::close(listener);
 }
 
 // A write from a timer right after a completed partial write left h2o polling a socket without a write: it aborted the
@@ -388,15 +410,10 @@
     event_loop loop;
     metric_registry metrics;
     peer_transport a(loop, "test", "a", test_address(8020), metrics, [](const wire::envelope_t&) {});
-    sockaddr_storage address{};
-    socklen_t length = test_address(8021).to_sockaddr(address);
-    int listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
-    REQUIRE(::listen(listener, 1) == 0);
+    raw_listener b(test_address(8021));
     a.add_peer("b", test_address(8021));
     loop.run_for(ms(50));
-    int reader = ::accept(listener, nullptr, nullptr);
-    REQUIRE(reader >= 0);
+    int reader = b.accept();
     std::size_t sent = 0;
     loop.every(ms(10), [&] {
         wire::config_part_t part;
@@ -408,8 +425,6 @@
         loop.run_for(ms(2));
         CHECK(::recv(reader, buffer.data(), buffer.size(), MSG_DONTWAIT) != 0);
     }
-    ::close(reader);
-    ::close(listener);
     std::string text = metrics.text();
     CHECK(text.find("persimmongrade_peer_sent_messages_total{message=\"config_part\"} " + std::to_string(sent) +
                     "\n") != std::string::npos);
