Grant leases of slots and connections for 2 s, so that they outlive an election

Cause: a new leader renews the slots that edges still hold; what has ended by its first pong comes back only when all use is known, which takes concurrency_hold (5 s) when an edge was lost with the leader. Slots cannot be used without the configuration lease of 2 s, so that a longer lease keeps nothing usable longer.

Ruled out: lack of slots (under 1 of 8 in use for each target), a changed limit, refused renewals of held leases.

--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -97,8 +97,11 @@
 // ---- Options common to granter and holder ----
 
 struct lease_options {
-    duration lease = ms(1000);
+    duration lease = ms(1000);  // of rates
     duration configuration_lease = ms(2000);
+    // Of slots and connections: they cannot be used without a configuration lease anyway. With 1 s they often ended
+    // during an election, and for concurrency_hold after it only the floors were usable.
+    duration concurrency_lease = ms(2000);
     duration concurrency_hold = ms(5000);  // longest time a dispatched request may occupy a slot: the largest deadline
     duration floor_loan = ms(2000);        // time for which one ping lends the standing floor of an idle rate
     duration floor_idle = ms(10000);       // time without a request after which the floor of a rate is lent
@@ -221,6 +224,7 @@
                       time_point now) const;
     double grant_amount(const resource& subject, share_book& shares, std::size_t edge, time_point now);
     bool concurrency_known(time_point now) const;
+    duration lease_of(const resource& subject) const;
 
     lease_options options;
     std::vector<std::string> edge_ids;
@@ -235,7 +239,8 @@
     std::uint64_t term = 0;
     bool is_leader = false;
     bool any_revision = false;
-    time_point no_grants_until{};
+    time_point no_grants_until{};         // rates
+    time_point earlier_slots_end_at{};    // leases of slots and connections of earlier leaders
 };
 
 // ---- Holder (edge) ----
--- a/src/limits/lease_granter.cpp
+++ b/src/limits/lease_granter.cpp
@@ -49,7 +49,9 @@
     limit_table next(configuration);
     if (!this->any_revision || skipped) {
         // An edge may use floors of a revision that this process does not know while its configuration lease lasts.
-        this->no_grants_until = std::max(this->no_grants_until, granter_expiry(now, this->options.configuration_lease));
+        time_point unknown_until = granter_expiry(now, this->options.configuration_lease);
+        this->no_grants_until = std::max(this->no_grants_until, unknown_until);
+        this->earlier_slots_end_at = std::max(this->earlier_slots_end_at, unknown_until);
     }
     if (this->any_revision && !this->current.same_limits(next)) {
         this->past.push_back({this->current, now});
@@ -76,6 +78,8 @@
     this->term = term;
     this->is_leader = true;
     this->no_grants_until = std::max(this->no_grants_until, granter_expiry(now, this->options.lease));
+    this->earlier_slots_end_at =
+        std::max(this->earlier_slots_end_at, granter_expiry(now, this->options.concurrency_lease));
     this->books.clear();
     std::fill(this->edges.begin(), this->edges.end(), edge_entry{});
     ++this->floors_version;
@@ -205,7 +209,7 @@
     if (!seen) {
         return;
     }
-    entry.use_known = entry.use_known || seen->complete || seen->sent_at >= this->no_grants_until;
+    entry.use_known = entry.use_known || seen->complete || seen->sent_at >= this->earlier_slots_end_at;
     for (auto& [subject, shares] : this->books) {
         std::erase_if(shares.accounts[edge].grants, [&](const grant& old) {
             return !old.orphaned && (old.sequence < ping.answered_sequence || old.counted_until <= seen->sent_at);
@@ -270,6 +274,7 @@
     pong.term = this->term;
     pong.committed_revision = this->current.revision();
     pong.lease_ms = static_cast<std::uint32_t>(this->options.lease.count());
+    pong.concurrency_lease_ms = static_cast<std::uint32_t>(this->options.concurrency_lease.count());
     this->forget_past(now);
     pong.rates_kept = now < this->no_grants_until;
     pong.concurrency_capped = !this->concurrency_known(now);
@@ -310,7 +315,7 @@
             amount = unchanged ? entry.sent_amount : round_down(amount);
         }
         if (amount > 0) {
-            entry.grants.push_back({amount, ping.sequence, granter_expiry(now, this->options.lease)});
+            entry.grants.push_back({amount, ping.sequence, granter_expiry(now, this->lease_of(subject))});
             shares.above[edge] = {};
         }
         if (amount == entry.sent_amount) {
@@ -329,12 +334,16 @@
         sent->resource->kind = subject.kind;
         sent->resource->subject = subject.subject;
         sent->amount = amount;
-        sent->duration_ms = pong.lease_ms;
+        sent->duration_ms = pong.concurrency_lease_ms;
     }
 }
 
 // ---- Amounts ----
 
+duration lease_granter::lease_of(const resource& subject) const {
+    return is_rate(subject) ? this->options.lease : this->options.concurrency_lease;
+}
+
 lease_granter::share_book& lease_granter::book(const resource& subject) {
     share_book& shares = this->books[subject];
     if (shares.accounts.empty()) {
@@ -516,7 +525,7 @@
 // Slots taken under an earlier leader are known once every edge has reported its use after grants of this leader had
 // replaced all those leases.
 bool lease_granter::concurrency_known(time_point now) const {
-    if (now >= this->no_grants_until + this->options.concurrency_hold) {
+    if (now >= this->earlier_slots_end_at + this->options.concurrency_hold) {
         return true;
     }
     return std::all_of(this->edges.begin(), this->edges.end(), [](const edge_entry& edge) { return edge.use_known; });
--- a/src/limits/lease_holder.cpp
+++ b/src/limits/lease_holder.cpp
@@ -250,7 +250,8 @@
     for (const auto& grant : pong.rate_grants) {
         changed_rates[grant.index()] = this->base_lost ? 0 : static_cast<double>(grant.amount());
     }
-    duration length = std::min(ms(pong.lease_ms), this->options.lease);
+    duration rate_length = std::min(ms(pong.lease_ms), this->options.lease);
+    duration concurrency_length = std::min(ms(pong.concurrency_lease_ms), this->options.concurrency_lease);
     for (auto& [subject, entry] : this->shares) {
         if (entry.limit == unlimited) {
             continue;
@@ -271,6 +272,7 @@
         if (!is_rate(subject) && pong.concurrency_capped) {
             amount = std::min(amount, lease_amount(entry, now));
         }
+        duration length = is_rate(subject) ? rate_length : concurrency_length;
         bool usable = amount > 0 && pong.committed_revision >= entry.lowered_at_revision;
         entry.granted = usable ? lease{amount, pong.committed_revision, holder_expiry(sent_at, length)} : lease{};
         if (is_rate(subject)) {
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -598,6 +598,52 @@
     }
 }
 
+// Guards against refusals for concurrency_hold after the loss of a region. Failed with leases of 1 s: they had ended when
+// the new leader answered, and a renewal needs a lease that is still held. Edge 0 is lost together with the leader, after
+// the longest election that was measured and with pings that are as old as they can be.
+TEST_CASE("slots stay usable when a leader and an edge are lost together") {
+    const duration longest_election = ms(870);
+    const duration ping_interval = ms(250);
+    const auto names = edge_names(3);
+    const auto configuration = make_configuration(1, 400, 64, 9);
+    std::vector<lease_granter> granters(2, lease_granter(names));
+    for (lease_granter& granter : granters) {
+        granter.apply(configuration, time_point(ms(0)));
+    }
+    std::vector<lease_holder> holders = make_holders(names, configuration);
+    auto ask = [&](std::size_t holder, std::size_t leader, time_point now) {
+        holders[holder].anticipate(slots, 3, now);
+        wire::edge_ping_t ping;
+        holders[holder].prepare(ping, now);
+        holders[holder].receive(granters[leader].answer(ping, now), now);
+    };
+    granters[0].become_leader(1, time_point(ms(0)));
+    time_point now{};
+    for (; now < time_point(ms(10000)); now += ping_interval) {
+        for (std::size_t i = 0; i < holders.size(); ++i) {
+            ask(i, 0, now);
+        }
+    }
+    const time_point lost_at = now - ms(1);  // the next pings are not answered
+    std::vector<double> before;
+    for (const lease_holder& holder : holders) {
+        before.push_back(holder.usable(slots, lost_at));
+    }
+    REQUIRE(before[0] + before[1] + before[2] >= 8);
+    now = lost_at + longest_election;
+    granters[1].become_leader(2, now);
+    const time_point end = now + lease_options{}.concurrency_hold + ms(3000);
+    for (now += ping_interval; now < end; now += ping_interval) {  // the edges learn of the leader
+        for (std::size_t i : {1, 2}) {
+            ask(i, 1, now);
+            INFO("edge " << i << " " << (now - lost_at).count() << " ms after the loss");
+            REQUIRE(holders[i].usable(slots, now + ping_interval - ms(1)) >= std::min(before[i], 3.0));
+        }
+        double sum = holders[0].usable(slots, now) + holders[1].usable(slots, now) + holders[2].usable(slots, now);
+        REQUIRE(sum <= 9);
+    }
+}
+
 // Guards against refusals of the first requests on an edge that has no floor slot and no lease yet.
 TEST_CASE("an edge can lease a slot before its first request") {
     const auto names = edge_names(7);
