--- a/include/persimmongrade/capacity_lease.h
+++ b/include/persimmongrade/capacity_lease.h
@@ -239,8 +239,8 @@
     std::uint64_t term = 0;
     bool is_leader = false;
     bool any_revision = false;
-    time_point no_grants_until{};         // rates
-    time_point earlier_slots_end_at{};    // leases of slots and connections of earlier leaders
+    time_point no_grants_until{};       // rates
+    time_point earlier_slots_end_at{};  // leases of slots and connections of earlier leaders
 };
 
 // ---- Holder (edge) ----
