Count usable targets for refusals without copying them; test the event lines of edges

Cause: the new line of a refusal copied the views of all targets of the service, which under overload costs most just when requests are refused. It now counts them in place, as the choice of a target does. Found by reading the change again. Test: tests/edge, "a refusal is logged with what decided it"; the property of the pool checks the count. Not measured.

--- a/include/persimmongrade/target_pool.h
+++ b/include/persimmongrade/target_pool.h
@@ -112,6 +112,8 @@
     // For other edges: one target, the targets whose newest announcement this edge received, and all targets.
     std::optional<wire::target_info_t> state_of(time_point now, std::string_view service, std::string_view id) const;
     bool alive(time_point now, std::string_view service, std::string_view id) const;  // its lease has not ended
+    // Targets that are alive, not draining and not ejected; with a region, only those in it.
+    std::size_t count_usable(time_point now, std::string_view service, std::string_view region = {}) const;
     wire::target_update_t local_update(time_point now) const;
     wire::target_update_t full_update(time_point now) const;
 
--- a/src/base/event_trace.cpp
+++ b/src/base/event_trace.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
+#include <cstdlib>
 #include <set>
 
 namespace persimmongrade {
--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -348,21 +348,16 @@
 void execution::log_refusal(wire::refusal_reason reason, wire::outcome outcome) const {
     time_point now = this->edge.loop.now();
     const std::string& service = this->order.service->name;
-    std::size_t targets = 0;
-    std::size_t targets_in_region = 0;
-    for (const target_view& view : this->edge.targets.view(now, service)) {
-        bool usable = !view.draining && !view.ejected;
-        targets += usable ? 1 : 0;
-        targets_in_region += usable && view.target.region == this->regions.first ? 1 : 0;
-    }
     bool waited = this->waiting_until.has_value();
     log_event("request_failed", field("id", this->order.request.header("idempotency-key").value_or("-")),
               field("service", service), field("outcome", wire::EnumNameoutcome(outcome)),
               field("reason", wire::EnumNamerefusal_reason(reason)), field("caller_region", this->order.caller_region),
               field("region", this->regions.first), field("target", this->tried.empty() ? "" : this->tried.back()),
               field("attempts", this->tried.size()), field("waited", waited),
-              field("left_ms", (this->order.deadline - now).count()), field("targets", targets),
-              field("targets_in_region", targets_in_region), field("revision", this->edge.config.revision()),
+              field("left_ms", (this->order.deadline - now).count()),
+              field("targets", this->edge.targets.count_usable(now, service)),
+              field("targets_in_region", this->edge.targets.count_usable(now, service, this->regions.first)),
+              field("revision", this->edge.config.revision()),
               field("lease_valid", this->edge.config.lease_valid(now)));
 }
 
--- a/src/request/target_pool.cpp
+++ b/src/request/target_pool.cpp
@@ -105,6 +105,18 @@
     return this->find_alive(now, service, id) != nullptr;
 }
 
+std::size_t target_pool::count_usable(time_point now, std::string_view service, std::string_view region) const {
+    auto pool = this->by_service.find(service);
+    if (pool == this->by_service.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::count_if(pool->second.begin(), pool->second.end(), [&](const auto& entry) {
+        const target& which = entry.second;
+        bool usable = now < which.expires_at && now >= which.ejected_until && !this->draining(which);
+        return usable && (region.empty() || which.info.region == region);
+    }));
+}
+
 const target_pool::target* target_pool::find_alive(time_point now, std::string_view service,
                                                    std::string_view id) const {
     auto pool = this->by_service.find(service);
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -1,7 +1,11 @@
 // Guards the request path of edges: whole answers of the right request only, drains, expired leases, retries,
 // at-most-once execution and the planned stop.
 
+#include <sstream>
+
 #include "edge_fixture.h"
+#include "persimmongrade/event_log.h"
+#include "persimmongrade/event_trace.h"
 #include "persimmongrade/uuid.h"
 
 using namespace persimmongrade;
@@ -133,6 +137,45 @@
     CHECK(edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, "lamp").body == "booking 1");
 }
 
+// Guards the way from a refusal to its cause by the logs alone.
+TEST_CASE("a refusal is logged with what decided it, beside changes of targets and of control") {
+    int ends[2];
+    REQUIRE(::pipe(ends) == 0);
+    start_event_log({.process = "edge-1", .descriptor = ends[1]});
+    edge_fixture edge({"north", "central", "south"});
+    counting_target lookups(edge.loop);
+    edge.announce("t1", "lookups", lookups.address);
+    edge.control.silent = true;
+    edge.loop.run_for(ms(2200));
+    edge.announce("t1", "lookups", lookups.address);
+    edge.call("GET", "/s/lookups/a");
+    flush_event_log();
+    start_event_log({.descriptor = -1});
+    ::close(ends[1]);
+    std::string text(event_log_options{}.max_buffered_bytes, '\0');
+    ssize_t size = ::read(ends[0], text.data(), text.size());
+    ::close(ends[0]);
+    REQUIRE(size > 0);
+    text.resize(static_cast<std::size_t>(size));
+    std::map<std::string, logged_event> last;  // by name
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        if (auto event = parse_event(line)) {
+            last[event->name] = *event;
+        }
+    }
+    CHECK(last["target"].field("target") == "t1");
+    CHECK(last["target"].field("from") == last["target"].process);
+    CHECK(last["control_lost"].field("lease_valid") == "0");
+    const logged_event& refused = last["request_failed"];
+    CHECK(refused.field("reason") == "configuration_lease_expired");
+    CHECK(refused.field("outcome") == "not_run");
+    CHECK(refused.field("service") == "lookups");
+    CHECK(refused.field("targets") == "1");
+    CHECK(refused.field("targets_in_region") == "1");
+    CHECK(refused.field("lease_valid") == "0");
+}
+
 // Guards R4: only a claim proves not_run. While a record changes, one edge may run a key without a claim, or hold one
 // that the other edge does not ask for.
 TEST_CASE("a refusal without a claim makes no statement about the key") {
--- a/tests/request/test_targets.cpp
+++ b/tests/request/test_targets.cpp
@@ -62,6 +62,7 @@
         auto ejected =
             std::count_if(views.begin(), views.end(), [](const auto& view) { return !view.draining && view.ejected; });
         RC_ASSERT(2 * ejected <= eligible);
+        RC_ASSERT(pool.count_usable(now, "crew", "north") == static_cast<std::size_t>(eligible - ejected));
         if (picked) {
             auto view = std::find_if(views.begin(), views.end(),
                                      [&](const auto& other) { return other.target.id == picked->id; });
