Let a request wait while the targets of its region are busy, instead of refusing it with shift_limit

Cause: a target that has just started takes one or a few requests of each edge at a time (slow start, 10 s). When all targets of the assigned region had as many, no target was found, and the request was refused at once with shift_limit, as if the region had none. It now waits for capacity like one without a leased slot, at most 100 ms, and is then refused with slots_exhausted.

Ruled out: targets unknown or silent at the edge (both alive, no target_lost), ejection, a moved assignment.

--- a/src/edge/execution.cpp
+++ b/src/edge/execution.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::int64_t attempt_share_divisor = 2;  // an attempt may be replaced after half of the remaining time
 constexpr duration probe_timeout = ms(250);  // includes the time in which a busy host closes an ended process's sockets
+constexpr duration busy_targets_retry = ms(20);  // hint; when a target becomes free is not known
 constexpr int first_server_error = 500;
 constexpr std::uint32_t weight_scale = 1000;
 // The leader makes a first assignment within this time after it has accepted the record.
@@ -75,6 +76,13 @@
     }
     auto chosen = this->choose_target(true);
     chosen = chosen ? chosen : this->choose_target(false);
+    if (!chosen && this->only_busy_targets()) {
+        reservation_result busy;
+        busy.refused = wire::refusal_reason::slots_exhausted;
+        busy.retry_after = busy_targets_retry;
+        this->wait_for_capacity(busy);
+        return;
+    }
     if (!chosen) {
         this->refuse_without_target();
         return;
@@ -107,6 +115,12 @@
     return this->edge.targets.pick_if(now, service, {this->regions.first}, this->tried, usable);
 }
 
+// Targets of the assigned region may take further requests, but each has as many of this edge as it bears now.
+bool execution::only_busy_targets() const {
+    return this->tried.empty() &&
+           this->edge.targets.count_usable(this->edge.loop.now(), this->order.service->name, this->regions.first) > 0;
+}
+
 void execution::refuse_without_target() {
     // Regions without a share in the assignment count as well: a live target there shows that the shift cap refuses.
     bool elsewhere =
--- a/src/edge/execution.h
+++ b/src/edge/execution.h
@@ -56,6 +56,7 @@
     void attempt();
     bool lease_covers_dispatch() const;
     std::optional<target_choice> choose_target(bool with_slot);
+    bool only_busy_targets() const;
     void refuse_without_target();
     void wait_for_capacity(const reservation_result& refused);
     void dispatch(target_choice chosen);
--- a/tools/persimmonctl.cpp
+++ b/tools/persimmonctl.cpp
@@ -421,7 +421,8 @@
                      "max_requests_per_second in the record."},
     {"link_limit", "A link between regions is at its limit. Wait, or raise max_mbit_per_second in the record."},
     {"shift_limit", "The assigned region has no live target, and the shift cap leaves no share elsewhere yet."},
-    {"slots_exhausted", "Every slot leased to the edge is busy. Add targets, or send again after the hint."},
+    {"slots_exhausted", "Every slot leased to the edge, or every target of the region, is busy. Add targets, or send "
+                        "again after the hint."},
     {"connections_exhausted", "Every connection leased to the edge is busy. Add targets."},
     {"no_target", "No live target announces itself for the service in an allowed region."},
     {"configuration_lease_expired", "The edge has not reached the leader for 2 s and cannot know of drains and lowered "
