--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -173,7 +173,7 @@
 dispatcher::service_state& dispatcher::service(const std::string& name) {
     auto found = this->services.find(name);
     if (found == this->services.end()) {
-        found = this->services.emplace(name, service_state{{}, {}, region_share(this->options.shift), {}, 0}).first;
+        found = this->services.emplace(name, service_state{{}, {}, region_share(this->options.shift), false}).first;
     }
     return found->second;
 }
@@ -197,11 +197,7 @@
         added->others = region.others_per_slot * target.slots;
         added->others_at = now;
         found = this->targets.emplace(target.id, std::move(added)).first;
-        service_state& state = this->service(target.service);
-        state.targets.push_back(found->second.get());
-        if (!state.first_target_at) {
-            state.first_target_at = now;
-        }
+        this->service(target.service).targets.push_back(found->second.get());
     }
     target_state& state = *found->second;
     if (state.view.started_at_ms != target.started_at_ms) {
@@ -248,8 +244,7 @@
 
 // ---- Regions ----
 
-// Callers are taken to be spread evenly over the regions until the load is known. As long as targets are still being
-// learned, the share starts anew: one from the first few targets sends most requests away, and comes back slowly.
+// Callers are taken to be spread evenly over the regions until the load is known.
 void dispatcher::start_share(service_state& state) const {
     std::map<std::string, double> slots;
     double total = 0;
@@ -260,7 +255,7 @@
     slots.try_emplace(this->options.region);
     double even = total / static_cast<double>(slots.size());
     state.share.start(total == 0 ? 0 : std::max(0.0, 1 - slots[this->options.region] / even));
-    state.share_targets = state.targets.size();
+    state.share_started = total > 0;
 }
 
 void dispatcher::update_share(service_state& state, time_point now) const {
@@ -439,8 +434,7 @@
 
 void dispatcher::add(const dispatch_request& request, time_point now) {
     service_state& state = this->service(request.service);
-    bool learning = state.first_target_at && now - *state.first_target_at < this->options.learning_time;
-    if (state.share_targets == 0 || (learning && state.share_targets != state.targets.size())) {
+    if (!state.share_started) {
         this->start_share(state);
     }
     state.arrivals.add(now);
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -23,7 +23,6 @@
     this->synced = this->last_index();
     this->pending = {};
     this->wait_for_leader(now);
-    this->commit_to(std::min(state.committed, this->last_index()));
 }
 
 actions consensus::tick(time_point now) {
--- a/src/consensus/log_storage.cpp
+++ b/src/consensus/log_storage.cpp
@@ -4,7 +4,6 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
 #include <cstdio>
 #include <cstring>
 
@@ -34,7 +33,6 @@
 constexpr const char* hard_state_magic = "PGHS";
 constexpr const char* snapshot_magic = "PGSN";
 constexpr const char* segment_magic = "PGLG";
-constexpr const char* commit_magic = "PGCI";
 constexpr const char* batch_magic = "PGBT";
 
 std::uint64_t checksum_of(byte_view data, std::uint64_t seed = 0) {
@@ -214,41 +212,6 @@
     return value;
 }
 
-// ---- Commit records ----
-
-byte_string encode_commit_header() {
-    byte_writer out;
-    out.file_header(commit_magic);
-    return std::move(out.bytes);
-}
-
-byte_string encode_commit_record(std::uint64_t index, std::uint64_t offset) {
-    byte_writer out;
-    out.number(index);
-    out.checksum(offset);
-    return std::move(out.bytes);
-}
-
-// Damage is no error: a lower index only delays what a leader will tell.
-std::uint64_t decode_commit(byte_view data) {
-    const byte_string header = encode_commit_header();
-    if (data.size() < header.size() || !std::equal(header.begin(), header.end(), data.begin())) {
-        return 0;
-    }
-    constexpr std::size_t record_bytes = sizeof(std::uint64_t) + checksum_bytes;
-    std::uint64_t highest = 0;
-    for (std::size_t offset = header.size(); offset + record_bytes <= data.size(); offset += record_bytes) {
-        byte_reader in(storage_names::commit, data.subspan(offset, record_bytes));
-        auto index = in.number<std::uint64_t>();
-        bool intact = in.number<std::uint64_t>() == checksum_of(data.subspan(offset, sizeof index), offset);
-        if (!intact) {
-            break;
-        }
-        highest = std::max(highest, index);
-    }
-    return highest;
-}
-
 // ---- Log segments ----
 
 byte_string encode_segment_header(std::uint64_t number) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,7 +35,6 @@
 constexpr duration answer_margin = ms(8);  // an answer must reach the client before its time is over
 constexpr duration belief_check_interval = ms(500);
 constexpr duration belief_log_interval = ms(2000);   // three services then take a few lines a second of all gateways
-constexpr duration report_margin = ms(500);          // beyond one heartbeat, until all targets have been told here
 constexpr duration starting_retry = ms(300);         // until items are known
 constexpr double hedge_factor = 3;                   // of the predicted time, after which a second target is asked
 constexpr double least_hedge_ms = 120;               // less is within the spread of work and delays
@@ -158,10 +157,8 @@
     impl(event_loop& loop, const wire::fleet_settings_t& given, const gateway_dialect& dialect,
          metric_registry& metrics)
         : loop(loop), settings(given), dialect(dialect),
-          decisions({.region = given.region,
-                     .shift = {.max_shift = given.max_shift},
-                     .random_seed = std::random_device{}(),
-                     .learning_time = ms(given.heartbeat_ms) + report_margin}),
+          decisions(
+              {.region = given.region, .shift = {.max_shift = given.max_shift}, .random_seed = std::random_device{}()}),
           client(loop, {}), control(loop, given, metrics, this->items, this->targets,
                                     [this](const control_news& news) { this->on_news(news); }),
           front(loop, ip_address::parse(given.front_address), front_options_of(given),
