Move the processes of the fault soak into a header for other tests

Change: tests/support/fleet_deployment.h has what the soak had (settings, start, restart, calls, submissions); the soak uses it. Faults, checks and bounds are unchanged.

--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -11,18 +11,14 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include <sys/stat.h>
-
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 
-#include "../support/child_process.h"
-#include "persimmongrade/http_client.h"
+#include "../support/fleet_deployment.h"
 #include "persimmongrade/http_server.h"
 #include "proxy.h"
 
@@ -49,30 +45,14 @@
 class soak {
 public:
     explicit soak(std::uint64_t seed)
-        : random(seed),
-          directory("/tmp/persimmongrade-soak-" + std::to_string(::getpid()) + "-" + std::to_string(seed)),
-          client(loop) {
-        std::filesystem::create_directories(this->directory);
-        for (std::size_t i = 0; i < control_count; ++i) {
-            this->start_control(i, true);
-        }
-        for (std::size_t i = 0; i < gateway_count; ++i) {
-            this->start_gateway(i);
-        }
+        : random(seed), system("soak-" + std::to_string(seed), {control_count, gateway_count, heartbeat}) {
         for (std::size_t i = 0; i < target_count; ++i) {
             this->start_target(i);
         }
         this->loop.every(heartbeat, [this] { this->send_heartbeats(); });
     }
 
-    ~soak() {
-        this->processes.clear();
-        if (this->problems.empty()) {
-            std::filesystem::remove_all(this->directory);
-        } else {
-            std::cout << "logs are kept in " << this->directory << "\n";
-        }
-    }
+    ~soak() { this->system.keep_logs = !this->problems.empty(); }
 
     soak(const soak&) = delete;
     soak& operator=(const soak&) = delete;
@@ -98,14 +78,6 @@
     }
 
 private:
-    struct process {
-        std::string program;
-        std::string settings;
-        std::string log;
-        std::optional<child_process> running;
-        bool paused = false;
-    };
-
     struct target {
         std::string id;
         ip_address own;
@@ -119,65 +91,13 @@
         bool loses_answers = false;
     };
 
-    // ---- Places ----
-
-    static std::string ip(std::size_t group, std::size_t number) {
-        return "127." + std::to_string(60 + ::getpid() % 100) + "." + std::to_string(group) + "." +
-               std::to_string(number + 1);
-    }
-    static std::string control_address(std::size_t i) { return ip(1, i) + ":7200"; }
-    static std::string region(std::size_t i) { return i % 2 == 0 ? "north" : "south"; }
-    static std::string zone(std::size_t i) { return region(i) + (i % 4 < 2 ? "-1" : "-2"); }
-
-    void write_settings(const std::string& file, std::size_t group, std::size_t i, const std::string& own) {
-        std::ofstream out(file);
-        out << "cluster: soak\nnode: " << (group == 1 ? "control-" : "gateway-") << i << "\nregion: " << region(i)
-            << "\nzone: " << zone(i) << "\npeer_address: \"" << ip(group, i) << ":7100\"\nmetrics_address: \""
-            << ip(group, i) << ":7101\"\nentry_http_address: \"" << ip(group, i) << ":7201\"\nseeds: ["
-            << control_address(0) << "," << control_address(1) << "," << control_address(2) << "]\nzones:\n";
-        for (std::size_t z = 0; z < 4; ++z) {
-            out << "  - {zone: " << zone(z) << ", region: " << region(z) << "}\n";
-        }
-        out << "heartbeat_ms: " << heartbeat.count() << "\nstop_timeout_ms: 4000\n" << own;
-    }
-
-    void start_control(std::size_t i, bool bootstrap) {
-        std::string name = "control-" + std::to_string(i);
-        std::string file = this->directory + "/" + name + ".yaml";
-        this->write_settings(file, 1, i,
-                             "control_http_address: \"" + control_address(i) +
-                                 "\"\nlost_disks: 2\nbootstrap: " + (bootstrap ? "true" : "false") +
-                                 "\ndata_directory: " + this->directory + "/" + name + "\n");
-        this->start(name, "persimmongrade-fleet", file);
-    }
-
-    void start_gateway(std::size_t i) {
-        std::string name = "gateway-" + std::to_string(i);
-        std::string file = this->directory + "/" + name + ".yaml";
-        this->write_settings(file, 2, i,
-                             "front_address: \"" + ip(2, i) + ":7300\"\nready_address: \"" + ip(2, i) + ":7301\"\n");
-        this->start(name, "persimmongrade-gateway", file);
-    }
-
-    void start(const std::string& name, const std::string& program, const std::string& settings) {
-        process& entry = this->processes[name];
-        entry = {program, settings, this->directory + "/" + name + ".log", std::nullopt, false};
-        entry.running.emplace(program, std::vector<std::string>{"--config", settings}, entry.log);
-    }
-
-    void restart(const std::string& name) {
-        process& entry = this->processes.at(name);
-        entry.running.emplace(entry.program, std::vector<std::string>{"--config", entry.settings}, entry.log);
-        entry.paused = false;
-    }
-
     // ---- Targets ----
 
     void start_target(std::size_t i) {
         auto& entry = this->targets.emplace_back();
         entry.id = "t" + std::to_string(i) + "-" + std::to_string(++this->starts);
-        entry.own = {ip(3, i), 7400};
-        entry.proxied = {ip(4, i), 7400};
+        entry.own = {fleet_deployment::ip(3, i), 7400};
+        entry.proxied = {fleet_deployment::ip(4, i), 7400};
         entry.started_at = unix_time_ms();
         entry.server = std::make_unique<http_server>(
             this->loop, entry.own, http_server_options{},
@@ -223,72 +143,33 @@
 
     void send_heartbeats() {
         for (target& entry : this->targets) {
-            json body = {{"address", entry.proxied.to_string()},
-                         {"born", entry.started_at},
-                         {"info", {{"service", "s"}, {"version", "v1"}, {"zone", this->zone_of(entry)}, {"slots", 4}}},
-                         {"status", {{"state", "ready"}, {"sequence", ++entry.sequence}, {"warmup-left-ms", 0}}}};
-            this->call(control_address(entry.reports_to), "PUT", "/api/instances/" + entry.id, body.dump(), ms(600),
-                       [this, &entry](int status, const http_response&) {
+            auto place = static_cast<std::size_t>(&entry - this->targets.data());
+            json body = this->system.heartbeat(place, entry.proxied.to_string(), entry.started_at, ++entry.sequence);
+            this->call(fleet_deployment::control_address(entry.reports_to), "PUT", "/api/instances/" + entry.id,
+                       body.dump(), ms(600), [this, &entry](int status, const http_response&) {
                            entry.reports_to = status == 200 ? entry.reports_to : this->random() % control_count;
                        });
         }
     }
 
-    std::string zone_of(const target& entry) const {
-        return zone(static_cast<std::size_t>(&entry - this->targets.data()));
-    }
-
     // ---- Operator ----
 
-    json items(std::uint64_t version) const {
-        json route = {{"host", "a.example"},
-                      {"path-prefix", "/once/"},
-                      {"route-type", "unsafe"},
-                      {"timeout-ms", 1500},
-                      {"target-latency-ms", 200},
-                      {"priority", 0},
-                      {"service", "s"},
-                      {"max-attempts", 2},
-                      {"sticky", true},
-                      {"allowed-regions", json::array()},
-                      {"version", "r" + std::to_string(version)}};
-        json safe = route;
-        safe["path-prefix"] = "/safe/";
-        safe["route-type"] = "safe";
-        return {
-            {"upsert",
-             {{"routes", {{"once", route}, {"safe", safe}}},
-              {"services",
-               {{"s", {{"max-connections", 300}, {"warmup-s", 0.0}, {"warmup-per-s", 50.0}, {"version", "r1"}}}}}}}};
+    void submit(std::uint64_t version, std::size_t control) {
+        this->system.submit(fleet_deployment::items(version), fleet_deployment::control_address(control),
+                            [this, version](int status) {
+                                if (status == 200) {
+                                    this->acknowledged = std::max(this->acknowledged, version);
+                                } else if (status >= 400 && status < 500) {
+                                    this->problem("valid items were refused with " + std::to_string(status));
+                                }
+                            });
     }
 
-    void submit(std::uint64_t version, std::size_t control, int redirects, const std::string& address) {
-        this->call(address, "PATCH", "/api/config", this->items(version).dump(), ms(1500),
-                   [this, version, control, redirects](int status, const http_response& response) {
-                       if (status == 200) {
-                           this->acknowledged = std::max(this->acknowledged, version);
-                       } else if (status == 307 && redirects < 2) {
-                           this->submit(version, control, redirects + 1, host_of(response));
-                       } else if (status >= 400 && status < 500) {
-                           this->problem("valid items were refused with " + std::to_string(status));
-                       }
-                   });
-    }
-
-    static std::string host_of(const http_response& response) {
-        std::string location(response.header("location").value_or("http://127.0.0.1:1/"));
-        std::string rest = location.substr(7);
-        return rest.substr(0, rest.find('/'));
-    }
-
-    void change_items() {
-        std::size_t control = this->random() % control_count;
-        this->submit(++this->version, control, 0, control_address(control));
-    }
+    void change_items() { this->submit(++this->version, this->random() % control_count); }
 
     void submit_until_accepted() {
         for (int i = 0; i < 40 && this->acknowledged == 0; ++i) {
-            this->submit(++this->version, 0, 0, control_address(static_cast<std::size_t>(i) % control_count));
+            this->submit(++this->version, static_cast<std::size_t>(i) % control_count);
             this->loop.run_for(ms(300));
         }
         if (this->acknowledged == 0) {
@@ -299,28 +180,8 @@
     // ---- Clients ----
 
     void call(const std::string& address, const std::string& method, const std::string& path, const std::string& body,
-              duration limit, std::function<void(int, const http_response&)> done,
-              std::vector<http_header> headers = {}) {
-        http_call call;
-        call.address = ip_address::parse(address);
-        call.method = method;
-        call.target = path;
-        call.host = "a.example";
-        call.headers = std::move(headers);
-        call.body = body;
-        call.reuse_connection = this->chance(0.7);
-        auto ended = std::make_shared<bool>(false);
-        call_id id = this->client.send(std::move(call), [ended, done](const http_call_result& result) {
-            if (!std::exchange(*ended, true)) {
-                done(result.status == http_call_status::ok ? result.response.status : 0, result.response);
-            }
-        });
-        this->loop.after(limit, [this, ended, id, done] {
-            if (!std::exchange(*ended, true)) {
-                this->client.cancel(id);
-                done(-1, {});
-            }
-        });
+              duration limit, fleet_deployment::answer_function done, std::vector<http_header> headers = {}) {
+        this->system.call(address, method, path, body, limit, std::move(done), std::move(headers), this->chance(0.7));
     }
 
     void ask() {
@@ -328,7 +189,7 @@
         bool once = this->requests % 2 == 0;
         this->attempts[id].once = once;
         ++this->asked_at_end;
-        std::string gateway = ip(2, this->random() % gateway_count) + ":7300";
+        std::string gateway = fleet_deployment::gateway_address(this->random() % gateway_count);
         auto sent_at = this->loop.now();
         this->call(
             gateway, once ? "POST" : "GET", once ? "/once/x" : "/safe/x", once ? "{}" : "", client_limit + ms(500),
@@ -369,7 +230,7 @@
         std::size_t number = this->random() % (on_control ? control_count : gateway_count);
         std::string name = (on_control ? "control-" : "gateway-") + std::to_string(number);
         auto after = ms(std::uniform_int_distribution<int>(100, 1500)(this->random));
-        process& entry = this->processes.at(name);
+        fleet_process& entry = this->system.process(name);
         if (kind <= 4 && !entry.running->running()) {
             return;  // it is down already, and will be started again
         }
@@ -377,16 +238,16 @@
         switch (kind) {
         case 0:
             entry.running->signal(SIGKILL);
-            this->loop.after(after, [this, name] { this->restart(name); });
+            this->loop.after(after, [this, name] { this->system.restart(name); });
             break;
         case 1:
             entry.running->signal(SIGTERM);
-            this->loop.after(ms(4500), [this, name] { this->restart(name); });
+            this->loop.after(ms(4500), [this, name] { this->system.restart(name); });
             break;
         case 2:
             entry.running->signal(SIGSTOP);
             this->paused_until = std::max(this->paused_until, this->loop.now() + after + client_limit);
-            this->loop.after(after, [this, name] { this->processes.at(name).running->signal(SIGCONT); });
+            this->loop.after(after, [this, name] { this->system.process(name).running->signal(SIGCONT); });
             break;
         case 3:
             entry.running->signal(SIGHUP);
@@ -395,8 +256,8 @@
             if (on_control && this->loop.now() >= this->disk_safe_at) {
                 this->disk_safe_at = this->loop.now() + ms(5000);
                 entry.running->kill_now();
-                std::filesystem::remove_all(this->directory + "/" + name);
-                this->loop.after(after, [this, number] { this->start_control(number, false); });
+                std::filesystem::remove_all(this->system.directory + "/" + name);
+                this->loop.after(after, [this, number] { this->system.start_control(number, false); });
             }
             break;
         case 5:
@@ -415,11 +276,7 @@
     }
 
     void heal() {
-        for (auto& [name, entry] : this->processes) {
-            if (entry.running) {
-                entry.running->signal(SIGCONT);
-            }
-        }
+        this->system.continue_all();
         for (target& entry : this->targets) {
             entry.proxy->set(proxy_mode::pass);
             entry.refuses = entry.loses_answers = false;
@@ -436,8 +293,8 @@
         }
         std::uint64_t read = 0;
         for (int i = 0; i < 30 && read < this->acknowledged; ++i) {
-            this->call(control_address(static_cast<std::size_t>(i) % control_count), "GET", "/api/config", "", ms(500),
-                       [&read](int status, const http_response& response) {
+            this->call(fleet_deployment::control_address(static_cast<std::size_t>(i) % control_count), "GET",
+                       "/api/config", "", ms(500), [&read](int status, const http_response& response) {
                            json body = json::parse(status == 200 ? response.body : "{}", nullptr, false);
                            if (status == 200 && !body.is_discarded()) {
                                std::string version = body["routes"]["once"]["version"];
@@ -460,10 +317,8 @@
     }
 
     std::mt19937_64 random;
-    std::string directory;
-    event_loop loop;
-    http_client client;
-    std::map<std::string, process> processes;
+    fleet_deployment system;
+    event_loop& loop = this->system.loop;
     std::vector<target> targets = [] {
         std::vector<target> reserved;
         reserved.reserve(target_count);
