Gateways log which request was lost with which target

No line of a gateway told which request was in flight when a target ended, so that the hypotheses of docs/incidents could not be told apart. Change: event request_lost with the fingerprint of the content, the target and its start. The fingerprint function of edges moves to quarantine.h; its values are unchanged (the ledger stores them).

--- a/include/persimmongrade/quarantine.h
+++ b/include/persimmongrade/quarantine.h
@@ -35,6 +35,9 @@
 inline constexpr duration region_failure_window = ms(2000);
 inline constexpr std::size_t region_failure_fingerprints = 3;  // that many lost in the window: the region failed
 
+// Identifies the content of a request, whatever its id: the same for each attempt, also at other processes.
+std::uint64_t content_fingerprint(std::string_view head, std::string_view body);
+
 struct lost_request {
     std::string service;
     std::uint64_t fingerprint = 0;
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -1,7 +1,5 @@
 #include "forwarder.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -58,12 +56,6 @@
     }
 }
 
-// Identifies the content of a request: method, path, query and body.
-std::uint64_t content_fingerprint(const http_request& request) {
-    std::string head = request.method + " " + request.path + "?" + request.query + "\n";
-    return XXH64(request.body.data(), request.body.size(), XXH64(head.data(), head.size(), 0));
-}
-
 }  // namespace
 
 void forwarder::handle(http_request request, const std::shared_ptr<http_exchange>& exchange) {
@@ -94,7 +86,8 @@
     }
     order.deadline = this->edge.loop.now() + read_deadline(request);
     request.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
-    order.fingerprint = content_fingerprint(request);
+    order.fingerprint =
+        content_fingerprint(request.method + " " + request.path + "?" + request.query + "\n", request.body);
     order.caller_region = this->edge.lookups.region_of(request.peer_ip);
     order.request = std::move(request);
     return order;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,6 +16,7 @@
 #include "front_server.h"
 #include "persimmongrade/event_log.h"
 #include "persimmongrade/gateway_list.h"
+#include "persimmongrade/quarantine.h"
 #include "persimmongrade/retry_budget.h"
 #include "route_table.h"
 #include "target_client.h"
@@ -97,6 +98,7 @@
     struct in_flight_call {
         call_id call = 0;
         std::string target;
+        time_point sent_at{};
     };
 
     struct request {
@@ -125,6 +127,14 @@
         double predicted_ms = 0;
         std::optional<front_answer> failure;  // of a target, returned when no further attempt succeeds
         std::string last_reason;
+
+        // Without headers: clients draw ids and deadlines anew for each attempt.
+        std::uint64_t fingerprint() const {
+            const message_head& head = this->received.head;
+            const std::string* host = head.header("host");
+            return content_fingerprint(head.method + " " + (host == nullptr ? "" : *host) + head.target + "\n",
+                                       this->received.body);
+        }
     };
 
     event_loop& loop;
@@ -438,7 +448,7 @@
             std::move(call), [this, id = entry.id, target = action.target](target_answer answer) {
                 this->on_answer(id, target, std::move(answer));
             });
-        entry.in_flight_calls.push_back({sent, action.target});
+        entry.in_flight_calls.push_back({sent, action.target, now});
         this->loop.cancel(std::exchange(entry.hedge_timer, 0));
         if (entry.repeatable && entry.attempts + entry.in_flight_calls.size() < entry.max_attempts) {
             auto wait = ms(std::llround(std::max(min_hedge_delay_ms, hedge_factor * action.predicted_ms)));
@@ -476,6 +486,7 @@
         if (ended_call == entry.in_flight_calls.end()) {
             return;
         }
+        time_point sent_at = ended_call->sent_at;
         entry.in_flight_calls.erase(ended_call);
         entry.target = target;
         time_point now = this->loop.now();
@@ -509,6 +520,7 @@
         case dispatch_outcome::lost:
             ++entry.attempts;
             entry.last_reason = answer.status == target_call_status::lost ? answer.reason : "answer without signature";
+            this->log_lost(entry, sent_at);
             this->retry_request(entry, true);
             break;
         case dispatch_outcome::not_run:
@@ -530,6 +542,15 @@
         this->run_dispatcher();
     }
 
+    void log_lost(const request& entry, time_point sent_at) const {
+        const auto* known = this->targets.find(entry.target);
+        log_event("request_lost", field("id", entry.attempt), field("fingerprint", entry.fingerprint()),
+                  field("service", entry.service), field("target", entry.target),
+                  field("started_at", known == nullptr ? 0 : known->report.started_at_ms),
+                  field("reason", entry.last_reason), field("sent_ms_ago", (this->loop.now() - sent_at).count()),
+                  field("attempts", entry.attempts));
+    }
+
     dispatch_outcome classify_answer(const target_answer& answer) const {
         if (answer.status == target_call_status::unreachable) {
             return dispatch_outcome::unreachable;
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -1,10 +1,16 @@
 #include "persimmongrade/quarantine.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
 namespace persimmongrade {
 
+std::uint64_t content_fingerprint(std::string_view head, std::string_view body) {
+    return XXH64(body.data(), body.size(), XXH64(head.data(), head.size(), 0));
+}
+
 bool quarantine::quarantined(time_point now, std::string_view service, std::uint64_t fingerprint) const {
     auto found = this->entries.find({std::string(service), fingerprint});
     return found != this->entries.end() && !found->second.withdrawn && now < found->second.expires_at;
