Gateways log the limit that a target names in its answers

No line showed an answer's limit or what a gateway knows of it. Change: target_limits keeps the newest answer's limit of each start of a target; event target_limit at each change. Nothing else depends on it yet.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 #include "persimmongrade/gateway_list.h"
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/retry_budget.h"
+#include "persimmongrade/target_limits.h"
 #include "route_table.h"
 #include "target_client.h"
 
@@ -67,6 +68,13 @@
     return whole ? std::optional(value) : std::nullopt;
 }
 
+std::optional<double> parse_rate(const std::string& text) {
+    double value = 0;
+    auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    bool whole = failure == std::errc() && end == text.data() + text.size();
+    return whole && value >= 0 && value <= max_target_rate ? std::optional(value) : std::nullopt;
+}
+
 std::string_view cookie_value(const message_head& head, std::string_view name) {
     for (const http_header& header : head.headers) {
         if (!equals_ignore_case(header.name, "cookie")) {
@@ -149,6 +157,7 @@
     item_store items;
     target_registry targets;
     quarantine crashes;
+    target_limits limits;
     route_table routes;
     dispatcher request_dispatcher;
     target_client target_connections;
@@ -533,6 +542,9 @@
             answer.reason = "answer without signature";
         }
         this->request_dispatcher.finished(id, entry.target, result, load, now);
+        if (answer.status == target_call_status::answered && result != dispatch_outcome::lost) {
+            this->note_limit(call, result, head);
+        }
         if (result == dispatch_outcome::lost) {
             this->note_lost(entry, call, answer);
         } else if (!this->crashes.empty()) {
@@ -613,6 +625,22 @@
         return given;
     }
 
+    // ---- What answers say about their targets ----
+
+    // Refusals need not repeat the limit, so that its absence there does not end it.
+    void note_limit(const in_flight_call& call, dispatch_outcome result, const message_head& head) {
+        const std::string* text = head.header(this->header_names.rate_limit);
+        auto rate = text == nullptr ? std::nullopt : parse_rate(*text);
+        if (!rate && result == dispatch_outcome::not_run) {
+            return;
+        }
+        if (auto news = this->limits.observe({call.target, call.target_started_at_ms}, rate, this->loop.now())) {
+            log_event("target_limit", field("target", call.target), field("started_at", call.target_started_at_ms),
+                      field("limited", news->limited), field("requests_per_second", news->requests_per_second),
+                      field("from", "own"));
+        }
+    }
+
     // ---- Requests that crash targets ----
 
     // The connection ended while the target may have run the request. A probe tells whether the target has crashed.
