Gateways give up answers without end

An endless row of interim answers was read until the request's deadline, extensions and trailers of chunks likewise, and bodies could fill 64 MB for each call on hosts of 260 MB. Change: at most 16 interim answers, bounded framing of chunked bodies, and a quarter of the host's memory for the answer bodies of all calls together, above which the largest one is given up. Heads were limited already. Measured: the new test, nine forms of endless answers, failed before at the interim answers (no result in 2 s) and passes now.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -191,7 +191,7 @@
         : loop(loop), settings(given), header_names(header_names),
           request_dispatcher(
               {.region = given.region, .shift = {.max_shift = given.max_shift}, .random_seed = std::random_device{}()}),
-          target_connections(loop, {}),
+          target_connections(loop, {.max_buffered_bytes = given.memory_mb * bytes_per_mb / 4}),
           control(loop, given, metrics, {this->items, this->targets, this->crashes, this->limits},
                   [this](const control_update& update) { this->on_control_update(update); }),
           front(loop, ip_address::parse(given.front_address), front_options_of(given),
@@ -218,7 +218,7 @@
     static front_options front_options_of(const wire::fleet_settings_t& settings) {
         front_options options;
         options.max_connections = settings.descriptors / descriptors_per_connection;
-        // The remaining memory is for answers and buffers.
+        // Answers get as much. The remaining memory is for connections and buffers.
         options.max_buffered_bytes = settings.memory_mb * bytes_per_mb / 4;
         return options;
     }
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -32,7 +32,10 @@
 namespace {
 
 constexpr std::size_t max_header_lines = 100;
-constexpr int parse_incomplete = -2;  // return value of picohttpparser
+// Chunk sizes, extensions and trailers: this many bytes beyond a multiple of the body.
+constexpr std::size_t spare_framing_bytes = 65536;
+constexpr std::size_t max_framing_factor = 16;  // chunks of one byte need 6
+constexpr int parse_incomplete = -2;            // return value of picohttpparser
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -242,7 +245,9 @@
         std::ptrdiff_t result = phr_decode_chunked(&decoder, this->bytes.data() + start, &size);
         this->chunks = {decoder.bytes_left_in_chunk, decoder.consume_trailer, decoder.hex_count, decoder.state};
         this->bytes.resize(start + size);
-        if (this->bytes.size() > this->max_bytes) {
+        this->framed_bytes += input.size();
+        bool endless = this->framed_bytes > max_framing_factor * this->bytes.size() + spare_framing_bytes;
+        if (this->bytes.size() > this->max_bytes || endless) {
             return parse_status::too_large;
         }
         if (result == parse_incomplete) {
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -56,6 +56,7 @@
 private:
     body_framing framing = body_framing::none;
     std::size_t remaining = 0;
+    std::size_t framed_bytes = 0;  // of a chunked body, read with its framing
     std::size_t max_bytes = 0;
     std::string bytes;
     struct chunk_state {
--- a/src/gateway/target_client.cpp
+++ b/src/gateway/target_client.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t max_answer_head_bytes = 65536;
+constexpr std::size_t max_interim_answers = 16;
 constexpr duration expiry_check_interval = ms(500);
 constexpr duration keep_alive_margin = ms(700);  // closes an idle connection this long before the target does
 constexpr duration max_recent_idle = ms(1500);   // a connection idle for less is unlikely to be closed yet
@@ -44,6 +45,7 @@
     timer_id delivery_hook = 0;
     timer_id expiry_timer = 0;
     call_id next_id = 1;
+    std::size_t buffered_bytes = 0;  // of answer bodies
 
     impl(event_loop& loop, const target_client_options& options) : loop(loop), options(options) {}
 
@@ -51,6 +53,7 @@
     bool reuse(call_id id, target_call& call, std::function<void(target_answer)>& callback);
     bool report();
     void close_expired();
+    void limit_buffers();
 };
 
 class target_client::impl::connection : public std::enable_shared_from_this<connection> {
@@ -66,6 +69,8 @@
     std::function<void(target_answer)> callback;
     target_answer answer;
     body_reader reader;
+    std::size_t buffered_bytes = 0;  // as counted in the owner's sum
+    std::size_t interim_answers = 0;
     bool skipping_stale = false;  // the answer being read belongs to another attempt
     bool skipped_stale = false;
     bool written = false;
@@ -80,9 +85,15 @@
         this->answer = {};
         this->written = false;
         this->skipping_stale = false;
+        this->interim_answers = 0;
         this->owner.in_flight[new_id] = this;
     }
 
+    void count_buffered(std::size_t bytes) {
+        this->owner.buffered_bytes += bytes - this->buffered_bytes;
+        this->buffered_bytes = bytes;
+    }
+
     bool connect() {
         sockaddr_storage storage{};
         socklen_t length = this->call.address.to_sockaddr(storage);
@@ -165,7 +176,9 @@
             std::size_t used = 0;
             parse_status status = this->reader.read(this->input(), used);
             h2o_buffer_consume(&this->socket->input, used);
+            this->count_buffered(this->reader.body().size());
             if (status == parse_status::incomplete) {
+                this->owner.limit_buffers();
                 return;
             }
             if (status != parse_status::complete) {
@@ -199,6 +212,10 @@
             if (head.status >= first_final_status) {
                 break;
             }
+            if (++this->interim_answers > max_interim_answers) {
+                this->fail(target_call_status::lost, "too many interim answers");
+                return false;
+            }
         }
         const std::string* attempt = nullptr;
         if (!this->call.attempt_header.empty()) {
@@ -231,6 +248,7 @@
                     this->max_idle > duration::zero();
         this->answer.status = target_call_status::answered;
         this->answer.body = std::move(this->reader.body());
+        this->count_buffered(0);
         this->answer.reused = this->reused;
         this->report();
         if (!keep) {
@@ -279,6 +297,7 @@
             std::erase(this->owner.idle_connections[this->call.target], this);
         }
         this->phase = connection_phase::closed;
+        this->count_buffered(0);
         this->owner.in_flight.erase(this->id);
         this->owner.loop.cancel(std::exchange(this->connect_timer, 0));
         h2o_socket_read_stop(this->socket);
@@ -345,6 +364,16 @@
     std::erase_if(this->idle_connections, [](const auto& entry) { return entry.second.empty(); });
 }
 
+void target_client::impl::limit_buffers() {
+    while (this->buffered_bytes > this->options.max_buffered_bytes) {
+        auto largest = std::max_element(this->connections.begin(), this->connections.end(), [](auto& a, auto& b) {
+            return a.first->buffered_bytes < b.first->buffered_bytes;
+        });
+        auto kept = largest->second;
+        kept->fail(target_call_status::lost, "answer is larger than the memory for answers");
+    }
+}
+
 target_client::target_client(event_loop& loop, const target_client_options& options)
     : state(std::make_unique<impl>(loop, options)) {
     this->state->delivery_hook = loop.after_each_poll([client = this->state.get()] { return client->report(); });
--- a/src/gateway/target_client.h
+++ b/src/gateway/target_client.h
@@ -6,6 +6,9 @@
 // A connection is not reused, and closed after its answer, when it shows anything unexpected: bytes that belong to no
 // request, an answer to another attempt, or a write that fails after the answer. An answer to another attempt is
 // skipped.
+//
+// An answer may come without end. Its head, its interim answers and its framing are limited, and so are the bodies that
+// are buffered for all calls together.
 
 #pragma once
 
@@ -56,7 +59,8 @@
     duration connect_timeout = ms(350);
     // Until unacknowledged data closes the connection; allows several retransmissions between regions.
     duration unacknowledged_timeout = ms(1500);
-    duration max_idle = ms(8000);  // a shorter time in the target's Keep-Alive header takes precedence
+    std::size_t max_buffered_bytes = 64U << 20U;  // answer bodies of all calls; the largest one is given up above it
+    duration max_idle = ms(8000);                 // a shorter time in the target's Keep-Alive header takes precedence
     std::size_t max_idle_per_target = 32;
 };
 
--- a/tests/gateway/test_connections.cpp
+++ b/tests/gateway/test_connections.cpp
@@ -99,6 +99,52 @@
     std::thread worker;
 };
 
+// Answers one request with a beginning and then with a piece again and again, until the client closes.
+class endless_target {
+public:
+    endless_target(const ip_address& address, std::string beginning, std::string piece)
+        : beginning(std::move(beginning)) {
+        constexpr std::size_t block_bytes = 65536;
+        while (this->block.size() < block_bytes) {
+            this->block += piece;
+        }
+        this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_storage storage{};
+        socklen_t size = address.to_sockaddr(storage);
+        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&storage), size) == 0);
+        REQUIRE(::listen(this->listener, 16) == 0);
+        this->worker = std::thread([this] { this->run(); });
+    }
+
+    ~endless_target() {
+        this->worker.join();
+        ::close(this->listener);
+    }
+
+    endless_target(const endless_target&) = delete;
+    endless_target& operator=(const endless_target&) = delete;
+
+    std::atomic<std::size_t> sent = 0;
+
+private:
+    void run() {
+        int descriptor = ::accept(this->listener, nullptr, nullptr);
+        timeval most{5, 0};  // a test that fails must end
+        ::setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &most, sizeof(most));
+        std::string_view next = this->beginning;
+        for (ssize_t size = 0; size >= 0; next = this->block) {
+            size = ::send(descriptor, next.data(), next.size(), MSG_NOSIGNAL);
+            this->sent += size > 0 ? static_cast<std::size_t>(size) : 0;
+        }
+        ::close(descriptor);
+    }
+
+    std::string beginning;
+    std::string block;
+    int listener = -1;
+    std::thread worker;
+};
+
 std::string answer_text(const std::string& attempt, const std::string& body) {
     return "HTTP/1.1 200 OK\r\nAttempt: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
@@ -175,6 +221,36 @@
     }
 }
 
+TEST_CASE("an answer without end is given up, in its head, its framing or its body") {
+    event_loop loop;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> answers = {
+        {"HTTP/1.1 200 ", "O"},
+        {head + "X: ", "x"},
+        {head, "A: b\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {head + "\r\n", "body without a length "},
+        {chunked, "5\r\nhello\r\n"},
+        {chunked + "5;", "extension"},
+        {chunked, "0000000000000000"},
+        {chunked + "0\r\n", "Trailer: x\r\n"},
+    };
+    target_client_options options;
+    options.max_buffered_bytes = 1U << 20U;
+    std::uint16_t port = 8650;
+    for (const auto& [beginning, piece] : answers) {
+        INFO(beginning << "[" << piece << "]...");
+        ip_address address = raw_connection::own_address(port++);
+        endless_target target(address, beginning, piece);
+        target_client client(loop, options);
+        CHECK(ask(loop, client, address, "a").status == target_call_status::lost);
+        loop.run_for(ms(50));
+        constexpr std::size_t socket_buffers = 16U << 20U;
+        CHECK(target.sent < options.max_buffered_bytes + socket_buffers);
+    }
+}
+
 TEST_CASE("an answer without a length ends with its connection, and an interim answer is skipped") {
     event_loop loop;
     ip_address address = raw_connection::own_address(8620);
