The HTTP client gives up an answer whose head has no end

Change: a head above 64 KB ends the call as a lost connection, checked every 5 ms at most. Bodies were limited already.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "persimmongrade/retained.h"
 
@@ -16,6 +18,8 @@
 constexpr std::uint64_t pool_idle_timeout_ms =
     2000;                                       // below the server's keep-alive time, so that reuse rarely races it
 constexpr std::uint64_t io_timeout_ms = 60000;  // last resort; callers cancel long before
+constexpr std::size_t max_head_bytes = 65536;   // of an answer
+constexpr duration head_check_interval = ms(5);
 
 bool has_known_length(const h2o_header_t* headers, std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
@@ -82,10 +86,14 @@
     std::unordered_map<call_id, std::unique_ptr<pending_call>> calls;
     std::vector<std::unique_ptr<pending_call>> finished;  // to be reported after the poll
     timer_id report_hook = 0;
+    time_point heads_checked_at{};
     call_id next_id = 1;
 
     explicit impl(event_loop& loop) : loop(loop), queue(h2o_multithread_create_queue(loop.native())) {
-        this->report_hook = loop.after_each_poll([this] { return this->report_finished(); });
+        this->report_hook = loop.after_each_poll([this] {
+            this->end_oversized_heads();
+            return this->report_finished();
+        });
         h2o_multithread_register_receiver(this->queue, &this->getaddr_receiver, h2o_hostinfo_getaddr_receiver);
         h2o_timeout_init(loop.native(), &this->io_timeout, io_timeout_ms);
         this->context.loop = loop.native();
@@ -122,6 +130,26 @@
         this->finished.push_back(std::move(this->calls.extract(pending->id).mapped()));
     }
 
+    // h2o buffers the head of an answer without a limit, and the target may send it without end.
+    void end_oversized_heads() {
+        time_point now = this->loop.now();
+        if (now - this->heads_checked_at < head_check_interval) {
+            return;
+        }
+        this->heads_checked_at = now;
+        std::vector<pending_call*> oversized;
+        for (const auto& [id, pending] : this->calls) {
+            bool reads_head = pending->written && !pending->head_received && pending->client->sock != nullptr;
+            if (reads_head && pending->client->sock->input->size > max_head_bytes) {
+                oversized.push_back(pending.get());
+            }
+        }
+        for (pending_call* pending : oversized) {
+            h2o_http1client_cancel(std::exchange(pending->client, nullptr));
+            this->finish(pending, http_call_status::connection_lost);
+        }
+    }
+
     // A callback may cancel another finished call. Those that finish meanwhile are reported after the next poll.
     bool report_finished() {
         std::size_t count = this->finished.size();
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 
+#include "../support/endless_target.h"
 #include "persimmongrade/error.h"
 #include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
@@ -114,6 +115,23 @@
     CHECK(call_and_wait(loop, client, call).status == http_call_status::answer_too_large);
 }
 
+TEST_CASE("an answer whose head or body has no end is given up") {
+    event_loop loop;
+    http_client client(loop);
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    std::uint16_t port = 8060;
+    for (const std::string& beginning :
+         {head + "X: ", head, head + "Content-Length: 999999999\r\n\r\n", head + "\r\n"}) {
+        INFO(beginning);
+        endless_target target(test_address(port), beginning, beginning == head ? "A: b\r\n" : "x");
+        http_call call{test_address(port++)};
+        CHECK(call_and_wait(loop, client, call).status != http_call_status::ok);
+        loop.run_for(ms(50));
+        constexpr std::size_t most_bytes = 32U << 20U;  // of a read and the sockets
+        CHECK(target.sent < most_bytes);
+    }
+}
+
 TEST_CASE("a cancelled call never reports and tells the server") {
     event_loop loop;
     bool closed = false;
