A refusal without an id on a used connection promises nothing

What callers could see: 503, which promises that the request has not run, for a request that its target was running. Cause: a faulty target may write an earlier refusal once more on a kept connection. With the id of the refused request it was skipped already; without an id it was taken for the answer to the next request. Change: such a refusal counts as a lost answer, unless the connection is new, on which no earlier one can stand.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -577,9 +577,9 @@
         if (load_text != nullptr) {
             load = this->header_names.parse_load(*load_text);
         }
-        dispatch_outcome result = this->classify_answer(answer);
+        dispatch_outcome result = this->classify_answer(entry, answer);
         if (result == dispatch_outcome::lost && answer.status == target_call_status::answered) {
-            answer.reason = "answer without signature";
+            answer.reason = "answer without signature or id";
         }
         this->request_dispatcher.finished(id, entry.target, result, load, now);
         if (answer.status == target_call_status::answered && result != dispatch_outcome::lost) {
@@ -632,7 +632,7 @@
         this->run_dispatcher();
     }
 
-    dispatch_outcome classify_answer(const target_answer& answer) const {
+    dispatch_outcome classify_answer(const request& entry, const target_answer& answer) const {
         if (answer.status == target_call_status::unreachable) {
             return dispatch_outcome::unreachable;
         }
@@ -641,7 +641,9 @@
         }
         const message_head& head = answer.head;
         if (head.status == status_misdirected || head.header(this->header_names.not_run) != nullptr) {
-            return dispatch_outcome::not_run;
+            // On a connection that has been used, a refusal without an id may be an earlier one, written again.
+            bool is_own = entry.attempt.empty() || !answer.reused || head.header(this->header_names.attempt) != nullptr;
+            return is_own ? dispatch_outcome::not_run : dispatch_outcome::lost;
         }
         bool success = head.status < status_multiple_choices;
         if (success && head.header(this->header_names.signature) == nullptr) {
