A target whose answers say that it leaves counts as draining

Cause: gateways learned of a departure only from the target's own reports, which a leaving target may not send. Change: an answer with the header is merged as a draining report of that start of the target, at the gateway at once and over the control processes at the others. It is the path that reports of targets take, so that later reports of the same start don't make the target ready again.

--- a/include/persimmongrade/gateway.h
+++ b/include/persimmongrade/gateway.h
@@ -33,6 +33,7 @@
     std::string signature;        // answer header: set by targets, to tell their answers from those of other servers
     std::string load;             // answer header: load of the target, read by `parse_load`
     std::string rate_limit;       // answer header: requests per second that the target takes from all gateways
+    std::string leaving;          // answer header: the target leaves, and wants no further requests
     std::string affinity_cookie;  // name of the cookie that identifies the object of a request, for sticky routing
     std::optional<target_load_report> (*parse_load)(std::string_view) = nullptr;
 };
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -236,6 +236,15 @@
     }
 }
 
+// Reports that control processes merge like those of each other, and pass on when they change something.
+void control_link::send_report(const wire::target_report_t& report) {
+    for (const auto& [address, known] : this->control_peers) {
+        wire::target_reports_t message;
+        message.reports.push_back(std::make_unique<wire::target_report_t>(report));
+        this->peers.send(address, std::move(message));
+    }
+}
+
 void control_link::send_limit(const wire::target_limit_t& limit) {
     log_limit(limit, "own");
     this->send_news(limit);
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -48,6 +48,7 @@
 
     void set_serving(bool serving);  // whether the gateway takes clients; a change is announced at once
     void send_notices(const std::vector<wire::quarantine_notice_t>& notices);
+    void send_report(const wire::target_report_t& report);
     void send_limit(const wire::target_limit_t& limit);
     void set_seeds(const std::vector<std::string>& http_addresses);
     // Largest count that a control process reported within gateway_count_hold; at least 1.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -584,6 +584,7 @@
         this->request_dispatcher.finished(id, entry.target, result, load, now);
         if (answer.status == target_call_status::answered && result != dispatch_outcome::lost) {
             this->note_limit(call, result, head);
+            this->note_leaving(call, head);
         }
         if (result == dispatch_outcome::lost) {
             this->note_lost(entry, call, answer);
@@ -682,6 +683,22 @@
         }
     }
 
+    // Takes the target for draining, as if it had reported it. Its later reports of the same start don't change this.
+    void note_leaving(const in_flight_call& call, const message_head& head) {
+        const auto* known = this->targets.find(call.target);
+        bool is_news = head.header(this->header_names.leaving) != nullptr && known != nullptr && known->usable() &&
+                       known->report.started_at_ms == call.target_started_at_ms;
+        if (!is_news) {
+            return;
+        }
+        wire::target_report_t report = this->targets.report_with_age(*known, this->loop.now());
+        report.phase = wire::target_phase::draining;
+        log_event("target_leaving", field("target", call.target), field("started_at", call.target_started_at_ms));
+        this->targets.merge(report, this->loop.now());
+        this->update_target(call.target);
+        this->control.send_report(report);
+    }
+
     // ---- Requests that crash targets ----
 
     // The connection ended while the target may have run the request. A probe tells whether the target has crashed.
