A target that refuses with Retry-After is left alone for so long

Cause: a refusal only raised the target's failure rate, which passes within seconds. Change: after a 503 with Retry-After the gateway does not use the target until the time is over; a start of the target ends it. When all usable targets hold requests off, these are refused at once with the time until the first one takes them again.

--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -151,6 +151,7 @@
     // Targets and gateways. A target is used from set_target() until remove_target().
     void set_target(const dispatch_target& target, time_point now);
     void remove_target(const std::string& id);
+    void hold_off(const std::string& id, time_point until);  // the target wants no requests of this gateway until then
     void set_region_gateway_count(unsigned in_region) { this->region_gateways = std::max(1U, in_region); }
 
     // Requests.
@@ -191,6 +192,7 @@
         double slowdown = 1;  // factor of its work on the mean of the service
         double failure_rate = 0;
         time_point health_updated_at{};  // when `slowdown` and `failure_rate` were last updated
+        time_point held_off_until{};
         std::optional<time_point> unreachable_at;
         duration unreachable_backoff{};
         std::unordered_map<std::uint64_t, time_point>
@@ -280,6 +282,7 @@
     queue_key key_of(const dispatch_request& request, const service_state& state, time_point now) const;
     void learn(service_state& state, target_state& target, const sent_request& sent, double took_ms, time_point now);
     void evict_objects(target_state& target, time_point now) const;
+    duration time_until_usable(const service_state& state, const dispatch_request& request, time_point now) const;
     dispatch_action refuse(const dispatch_request& request, refusal_cause cause, double wait_ms);
     void refuse_unanswerable(time_point now, std::vector<dispatch_action>& actions);
 
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -242,6 +242,7 @@
         state.slowdown = 1;
         state.failure_rate = 0;
         state.unreachable_at.reset();
+        state.held_off_until = {};
     }
     if (state.unreachable_at && target.heard_at > *state.unreachable_at) {
         state.unreachable_at.reset();
@@ -268,6 +269,13 @@
     this->targets.erase(found);
 }
 
+void dispatcher::hold_off(const std::string& id, time_point until) {
+    auto found = this->targets.find(id);
+    if (found != this->targets.end()) {
+        found->second->held_off_until = std::max(found->second->held_off_until, until);
+    }
+}
+
 double dispatcher::remote_share(const std::string& service) const {
     auto found = this->services.find(service);
     return found == this->services.end() ? 0 : found->second.share.value();
@@ -335,8 +343,9 @@
     if (target.unreachable_at && now < *target.unreachable_at + target.unreachable_backoff) {
         return false;
     }
-    if (target.info.send_rate && target.info.send_rate->own <= 0) {
-        return false;  // left to other gateways
+    bool left_to_others = target.info.send_rate && target.info.send_rate->own <= 0;
+    if (left_to_others || now < target.held_off_until) {
+        return false;
     }
     return !contains(request.excluded, target.info.id) &&
            (request.regions.empty() || contains(request.regions, target.info.region));
@@ -487,6 +496,18 @@
     return ahead == 0 ? 0 : ahead * this->ms_per_request(state, now);
 }
 
+// For a request without a usable target: until the first one that holds requests off takes them again.
+duration dispatcher::time_until_usable(const service_state& state, const dispatch_request& request,
+                                       time_point now) const {
+    auto first = time_point::max();
+    for (const target_state* target : state.targets) {
+        bool held_off = now < target->held_off_until && this->usable(*target, request, target->held_off_until);
+        first = held_off ? std::min(first, target->held_off_until) : first;
+    }
+    auto usual = ms(std::llround(no_target_retry_after_ms));
+    return first == time_point::max() ? usual : std::max(usual, first - now);
+}
+
 dispatch_action dispatcher::refuse(const dispatch_request& request, refusal_cause cause, double wait_ms) {
     double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(this->random);
     double retry_after_ms = std::clamp(wait_ms * jitter, min_retry_after_ms, max_retry_after_ms);
@@ -508,7 +529,8 @@
     bool any_usable = std::any_of(state.targets.begin(), state.targets.end(),
                                   [&](const target_state* target) { return this->usable(*target, request, now); });
     if (!any_usable) {
-        this->refused_on_arrival.push_back(this->refuse(request, refusal_cause::no_target, no_target_retry_after_ms));
+        double wait_ms = static_cast<double>(this->time_until_usable(state, request, now).count());
+        this->refused_on_arrival.push_back(this->refuse(request, refusal_cause::no_target, wait_ms));
         return;
     }
     double shortest_ms = state.work.shortest();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,9 +48,11 @@
 constexpr unsigned success_log_interval = 64;
 constexpr duration probe_timeout = ms(250);  // a round trip between regions, and the end of a crashed process's sockets
 constexpr double cold_rate_fraction = 0.8;   // of the rate that a cold target bears: counts are spread over links
-constexpr double min_limited_rate = 0.5;     // requests per second; their answers tell when a target's limit has ended
-constexpr double far_rate_fraction = 0.3;    // of a target's limit, for gateways of other regions
-constexpr double spare_limited_requests = 4;          // at once, beyond twice the rate, whatever limit a target names
+constexpr duration max_hold_off = ms(600000);  // of a target's Retry-After
+constexpr double ms_per_second = 1000;
+constexpr double min_limited_rate = 0.5;      // requests per second; their answers tell when a target's limit has ended
+constexpr double far_rate_fraction = 0.3;     // of a target's limit, for gateways of other regions
+constexpr double spare_limited_requests = 4;  // at once, beyond twice the rate, whatever limit a target names
 constexpr duration client_departure_time = ms(2500);  // until clients have queried the directory again
 constexpr duration stop_check_interval = ms(50);
 constexpr duration stop_margin = ms(300);              // ends a stop this long before the process is killed
@@ -71,7 +73,7 @@
     return whole ? std::optional(value) : std::nullopt;
 }
 
-std::optional<double> parse_rate(const std::string& text) {
+std::optional<double> parse_decimal(const std::string& text) {
     double value = 0;
     auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
     bool whole = failure == std::errc() && end == text.data() + text.size();
@@ -98,9 +100,9 @@
 }
 
 std::string seconds_text(duration time) {
-    constexpr std::int64_t ms_per_second = 1000;
-    std::string fraction = std::to_string(time.count() % ms_per_second);
-    return std::to_string(time.count() / ms_per_second) + "." + std::string(3 - fraction.size(), '0') + fraction;
+    constexpr std::int64_t whole = 1000;  // ms
+    std::string fraction = std::to_string(time.count() % whole);
+    return std::to_string(time.count() / whole) + "." + std::string(3 - fraction.size(), '0') + fraction;
 }
 
 }  // namespace
@@ -585,6 +587,7 @@
         if (answer.status == target_call_status::answered && result != dispatch_outcome::lost) {
             this->note_limit(call, result, head);
             this->note_leaving(call, head);
+            this->note_retry_after(call, head);
         }
         if (result == dispatch_outcome::lost) {
             this->note_lost(entry, call, answer);
@@ -673,7 +676,7 @@
     // Refusals need not repeat the limit, so that its absence there does not end it.
     void note_limit(const in_flight_call& call, dispatch_outcome result, const message_head& head) {
         const std::string* text = head.header(this->header_names.rate_limit);
-        auto rate = text == nullptr ? std::nullopt : parse_rate(*text);
+        auto rate = text == nullptr ? std::nullopt : parse_decimal(*text);
         if (!rate && result == dispatch_outcome::not_run) {
             return;
         }
@@ -699,6 +702,18 @@
         this->control.send_report(report);
     }
 
+    // A target that refuses with a time wants nothing from this gateway before.
+    void note_retry_after(const in_flight_call& call, const message_head& head) {
+        const std::string* text = head.status == status_unavailable ? head.header("retry-after") : nullptr;
+        auto seconds = text == nullptr ? std::nullopt : parse_decimal(*text);
+        if (!seconds || *seconds <= 0) {
+            return;
+        }
+        auto time = std::min(max_hold_off, ms(std::llround(*seconds * ms_per_second)));
+        log_event("target_holds_off", field("target", call.target), field("for_ms", time.count()));
+        this->request_dispatcher.hold_off(call.target, this->loop.now() + time);
+    }
+
     // ---- Requests that crash targets ----
 
     // The connection ended while the target may have run the request. A probe tells whether the target has crashed.
--- a/tests/admission/test_dispatcher.cpp
+++ b/tests/admission/test_dispatcher.cpp
@@ -111,6 +111,23 @@
     CHECK(actions[0].retry_after > ms(0));
 }
 
+TEST_CASE("a target that holds requests off is not used until then, and refusals say when") {
+    dispatcher placement({.region = "north"});
+    placement.set_target(target_of("a"), start);
+    placement.hold_off("a", start + ms(3000));
+    placement.add(request_of(1), start);
+    auto refused = placement.poll(start);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].cause == refusal_cause::no_target);
+    CHECK(refused[0].retry_after >= ms(1500));
+    dispatch_request later = request_of(2);
+    later.deadline_at = start + ms(4000);
+    placement.add(later, start + ms(3000));
+    auto sent = placement.poll(start + ms(3000));
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].target == "a");
+}
+
 TEST_CASE("requests refused together get different retry delays") {
     dispatcher placement({.region = "north"});
     std::set<std::int64_t> times;
--- a/tests/platform/test_target_signals.cpp
+++ b/tests/platform/test_target_signals.cpp
@@ -77,3 +77,27 @@
     CHECK(play.arrived(0, said_at + drain_time, play.system.loop.now()) == 0);
     CHECK(play.served + 20 > play.asked);
 }
+
+TEST_CASE("a target that answers 503 with Retry-After gets nothing from that gateway for so long") {
+    constexpr duration retry_after = ms(2000);
+    constexpr duration grace = ms(500);       // after which the platform counts
+    constexpr std::size_t most_arrivals = 2;  // that the platform allows
+    signalling_deployment play("retry-after", 1, 1);
+    std::vector<time_point> refused_at;
+    play.change_answer = [&](const stub_target& there, http_response& answer) {
+        if (there.number == 0) {
+            refused_at.push_back(play.system.loop.now() + ms(20));
+            answer.status = 503;
+            answer.headers.push_back({"not-executed", "1"});
+            answer.headers.push_back({"retry-after", "2"});
+        }
+    };
+    play.system.loop.run_for(ms(6000));
+    REQUIRE_FALSE(refused_at.empty());
+    std::size_t most = 0;
+    for (time_point at : refused_at) {
+        most = std::max(most, play.arrived(0, at + grace, at + retry_after));
+    }
+    CHECK(most <= most_arrivals);
+    CHECK(refused_at.size() > 1);  // it is tried again afterwards
+}
