Shares in a named limit: one list of gateways a refresh, also for regions without gateways

Change: the list of the last refresh serves all targets; the ranking covers the gateways that share. Measured: the tests of limits and signals with real programs pass.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -170,6 +170,7 @@
     front_server front;
     std::unordered_map<request_id, std::unique_ptr<request>> requests;
     std::map<std::string, retry_budget> retry_budgets;      // by service
+    std::vector<wire::gateway_info_t> serving_gateways;     // that take clients, as of the last refresh
     std::map<std::string, time_point> evacuation_ended_at;  // by zone
     std::set<std::string> evacuated;
     request_id next_id = 1;
@@ -281,19 +282,21 @@
         if (!named) {
             return std::nullopt;
         }
-        auto gateways = this->control.gateways(this->loop.now());
+        bool own_region = report.region == this->settings.region;
+        bool region_has_gateways =
+            own_region || std::any_of(this->serving_gateways.begin(), this->serving_gateways.end(),
+                                      [&](const auto& gateway) { return gateway.region == report.region; });
         std::vector<std::string> sharing;
-        for (const auto& gateway : gateways) {
-            if (gateway.region == report.region) {
+        for (const auto& gateway : this->serving_gateways) {
+            if (!region_has_gateways || gateway.region == report.region) {
                 sharing.push_back(gateway.address);
             }
         }
         double rate = std::max(*named, min_limited_rate);
-        bool own_region = report.region == this->settings.region;
-        if (!own_region && !sharing.empty()) {
+        if (!own_region && (region_has_gateways || sharing.empty())) {
             return rate_share{rate, 0};
         }
-        std::size_t count = own_region ? this->control.gateways_in_region() : std::max<std::size_t>(1, gateways.size());
+        std::size_t count = own_region ? this->control.gateways_in_region() : sharing.size();
         auto most_senders = static_cast<std::size_t>(2 * rate) + spare_limited_requests;
         if (count <= most_senders) {
             return rate_share{rate, rate / static_cast<double>(count)};
@@ -340,6 +343,7 @@
             this->request_dispatcher.remove_target(id);
             this->limits.forget(id);
         }
+        this->serving_gateways = this->control.gateways(now);
         for (const std::string& id : this->limits.limited()) {
             this->update_target(id);  // the number of gateways may have changed
         }
