Ended quarantines are told to processes that were cut off

Change: withdrawals are kept as long as a quarantine would be, and are sent as well; their version orders them. Measured: the new test fails without the change, and passes with it, as do the other tests of the quarantine and the relay.

--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -161,9 +161,10 @@
 std::vector<wire::quarantine_notice_t> quarantine::all(time_point now) const {
     std::vector<wire::quarantine_notice_t> notices;
     for (const auto& [key, entry] : this->entries) {
-        if (!entry.withdrawn && now < entry.expires_at) {
+        if (now < entry.expires_at) {
+            duration left = entry.withdrawn ? duration::zero() : entry.expires_at - now;
             notices.push_back(entry.notice);
-            notices.back().expires_in_ms = static_cast<std::uint32_t>((entry.expires_at - now).count());
+            notices.back().expires_in_ms = static_cast<std::uint32_t>(left.count());
         }
     }
     for (const loss& entry : this->losses) {
--- a/tests/request/test_quarantine.cpp
+++ b/tests/request/test_quarantine.cpp
@@ -150,6 +150,20 @@
     CHECK_FALSE(processes.any_refuses(7));
 }
 
+TEST_CASE("a process that was cut off learns that a quarantine has ended", "[quarantine]") {
+    group processes(2, 1);
+    processes.crash(1, {{0, 7}});
+    processes.crash(2, {{0, 7}});
+    processes.run_for(ms(100));
+    REQUIRE(processes.all_refuse(7));
+    processes.members[0].answered(processes.now, "crew", 7);  // its notices are lost
+    REQUIRE(processes.members[1].quarantined(processes.now, "crew", 7));
+    for (const auto& notice : processes.members[0].all(processes.now)) {
+        processes.members[1].receive(processes.now, notice);
+    }
+    CHECK_FALSE(processes.any_refuses(7));
+}
+
 TEST_CASE("a process that starts later learns of crashes that are not yet a quarantine", "[quarantine]") {
     group processes(1, 1);
     processes.crash(1, {{0, 7}});
