--- a/tests/platform/test_repeated_refusal.cpp
+++ b/tests/platform/test_repeated_refusal.cpp
@@ -28,6 +28,8 @@
 public:
     repeating_target(const ip_address& address, bool with_id) : with_id(with_id) {
         this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int on = 1;  // other tests of this process have used the address
+        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         sockaddr_storage storage{};
         socklen_t size = address.to_sockaddr(storage);
         REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&storage), size) == 0);
--- a/tests/support/endless_target.h
+++ b/tests/support/endless_target.h
@@ -27,6 +27,8 @@
             this->block += piece;
         }
         this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int on = 1;
+        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         sockaddr_storage storage{};
         socklen_t size = address.to_sockaddr(storage);
         REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&storage), size) == 0);
