--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -275,12 +275,11 @@
     for (const auto& [address, known] : this->control_peers) {
         most = std::max(most, known.region_gateways);
     }
-    if (most >= this->counted_gateways) {
-        this->counted_gateways = most;
-        this->fewer_gateways_since = time_point{};
-    } else if (this->fewer_gateways_since == time_point{}) {
+    bool is_fewer = most < this->counted_gateways;
+    if (is_fewer && this->fewer_gateways_since == time_point{}) {
         this->fewer_gateways_since = now;
-    } else if (now - this->fewer_gateways_since >= gateway_count_hold) {
+    }
+    if (!is_fewer || now - this->fewer_gateways_since >= gateway_count_hold) {
         this->counted_gateways = most;
         this->fewer_gateways_since = time_point{};
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -51,7 +51,6 @@
 constexpr duration max_hold_off = ms(600000);  // of a target's Retry-After
 constexpr double ms_per_second = 1000;
 constexpr double min_limited_rate = 0.5;      // requests per second; their answers tell when a target's limit has ended
-constexpr double far_rate_fraction = 0.3;     // of a target's limit, for gateways of other regions
 constexpr double spare_limited_requests = 4;  // at once, beyond twice the rate, whatever limit a target names
 constexpr duration client_departure_time = ms(2500);  // until clients have queried the directory again
 constexpr duration stop_check_interval = ms(50);
