Control processes pass changes on once, as changes, and not again while they are on their way

Change: a gateway takes reports and the list of gateways from its source only, one of its region; control processes tell each other what they hear (member_ping, numbered reports). Departures still go to every gateway directly. Lists travel as changes. Copies of all reports wait until nothing is queued and double their interval; state messages keep to a part of memory_mb. Targets are sent to a control process of their region. Gateways ping control processes of other regions every 1.2 s. Log lines of large messages are summed.

--- a/include/persimmongrade/event_loop.h
+++ b/include/persimmongrade/event_loop.h
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include "persimmongrade/clock.h"
 
@@ -50,4 +52,25 @@
     std::unique_ptr<impl> state;
 };
 
+// Timers of one owner. They end with it, so that its callbacks never outlive it.
+class owned_timers {
+public:
+    explicit owned_timers(event_loop& loop) : loop(loop) {}
+    ~owned_timers() {
+        for (timer_id id : this->ids) {
+            this->loop.cancel(id);
+        }
+    }
+    owned_timers(const owned_timers&) = delete;
+    owned_timers& operator=(const owned_timers&) = delete;
+
+    timer_id every(duration period, std::function<void()> callback) {
+        return this->ids.emplace_back(this->loop.every(period, std::move(callback)));
+    }
+
+private:
+    event_loop& loop;
+    std::vector<timer_id> ids;
+};
+
 }  // namespace persimmongrade
--- a/include/persimmongrade/fleet_control.h
+++ b/include/persimmongrade/fleet_control.h
@@ -9,6 +9,9 @@
 //
 // It has no HTTP interface of its own: the caller translates HTTP requests into these calls.
 //
+// Reports and the list of gateways travel between the control processes, and from each to the gateways that chose it as
+// their source, one in their own region while there is one. Gateways ping the others seldom.
+//
 // It also passes on news that gateways learn from targets, quarantine notices and limits: each gateway sends its own to
 // every control process, and gets those of the others from the one that sends it items.
 //
@@ -64,6 +67,9 @@
     // Target reports. A report of phase `gone` needs only the target's id. Returns false when a target that leaves
     // cannot be recorded because no leader is known: it must then report to another process.
     bool report(wire::target_report_t report);
+    // HTTP address of a control process in the target's region, for its later reports. Empty: this process is as near,
+    // or none there answers.
+    std::string reporting_address(const std::string& region, const std::string& target) const;
 
     // Addresses of gateways for a client in that region and zone, nearest first; empty when none is known.
     std::vector<std::string> gateways_for(const std::string& region, const std::string& zone) const;
--- a/include/persimmongrade/listener.h
+++ b/include/persimmongrade/listener.h
@@ -15,6 +15,10 @@
 // Turns off Nagle's algorithm: messages are small and latency matters.
 void set_no_delay(h2o_socket_t* socket);
 
+// The kernel takes megabytes for a slow peer otherwise, and a sender that looks at its own queue believes them
+// delivered.
+void keep_unsent_bytes_in_process(h2o_socket_t* socket);
+
 // Ends a connection whose peer no longer answers: a host without power, or behind a partition, resets nothing. Sent
 // bytes may stay unacknowledged, or the peer's buffers full, for the time given; an idle peer is probed after 1 s.
 void set_liveness(h2o_socket_t* socket, duration unacknowledged);
--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -77,6 +77,9 @@
     bool update_peer(const std::string& id, const ip_address& address, std::uint64_t incarnation);
     void set_incarnation(std::uint64_t incarnation);  // own one, stated in every message from now on
     bool connected(const std::string& id) const;      // in either direction
+    // Not yet taken by the connection that send() would use; 0 without a connection. Large state messages should wait
+    // for it: a sum over hundreds of slow peers fills the memory long before one queue is full.
+    std::size_t queued_bytes(const std::string& id) const;
     // Rises whenever connected() may give another answer for some peer, so that a caller which follows all peers need
     // not ask for each of them again.
     std::uint64_t connection_changes() const noexcept;
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -1,5 +1,5 @@
-// Contents: state and start; log membership; messages; operator commands and committed entries; gateways; news;
-// targets; public interface.
+// Contents: state and start; log membership; messages; operator commands and committed entries; other control
+// processes; gateways; reports; news; targets; public interface.
 
 #include "persimmongrade/fleet_control.h"
 
@@ -16,6 +16,7 @@
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/random.h"
+#include "persimmongrade/report_stream.h"
 #include "persimmongrade/target_limits.h"
 #include "persimmongrade/target_registry.h"
 
@@ -34,11 +35,16 @@
 constexpr duration report_batch_interval = ms(25);      // batches the reports of targets that start together
 constexpr duration gateway_ping_timeout = ms(1200);     // four missed pings
 constexpr duration gateway_session_expiry = ms(10000);  // until then, counted when gateways divide shared limits
-constexpr duration reports_resend_timeout = ms(400);
+constexpr duration member_ping_interval = ms(300);
+constexpr duration member_timeout = ms(1000);  // without a ping: targets are not sent there, reports go around it
+// The gateways that a control process named, after its last ping. They need a second to turn to another one.
+constexpr duration member_gateways_expiry = ms(2500);
 constexpr duration items_resend_timeout = ms(2000);  // many items take this long over a slow link
 constexpr duration storage_retry_interval = ms(300);
 constexpr duration command_timeout = ms(3000);
 constexpr std::size_t max_targets_per_message = 200;
+constexpr std::size_t max_logged_targets = 8;  // of one message, by themselves
+constexpr std::size_t bytes_per_mb = 1048576;
 constexpr double target_silence_intervals = 3.5;  // heartbeat intervals without a report until a target is silent
 
 byte_string encode_command(const wire::fleet_command_t& command) {
@@ -63,10 +69,28 @@
         time_point last_ping_at{};
         std::uint64_t sent_items_index = 0;  // log index up to which items were sent
         time_point items_sent_at{};
-        std::uint64_t sent_reports_number = 0;  // of the last reports message
-        time_point reports_sent_at{};
+        report_stream reports;
         bool knows_news = true;  // nothing was lost for want of a connection
         bool is_new = true;
+
+        bool wants_reports() const { return this->last_ping.wants_items; }
+    };
+
+    // Another control process.
+    struct member_session {
+        time_point last_ping_at{};
+        std::string region;
+        std::string http_address;
+        report_stream reports;               // to it
+        std::uint64_t received_reports = 0;  // number of its last message that came without a gap
+        gateway_list_copy gateways;          // that ping it
+        std::uint64_t known_list = 0;        // of this process's own gateways, as the member knows them
+        std::uint64_t known_version = 0;
+    };
+
+    enum class report_scope : std::uint8_t {
+        members,   // only who receives the target's reports has changed
+        everyone,  // gateways need it, too
     };
 
     event_loop& loop;
@@ -84,10 +108,12 @@
     std::deque<pending_command> pending_commands;  // in order of arrival; only the first one can be in the log
     std::optional<std::pair<std::uint64_t, std::uint64_t>> proposed_entry;  // index and term of the first command
     std::map<std::string, gateway_session> gateway_sessions;                // by gateway id
+    std::map<std::string, member_session> member_sessions;                  // by member id
     std::map<std::string, time_point> last_report_at;    // by id of the targets that report to this process
-    std::set<std::string> unsent_target_ids;             // targets whose report goes into the next message
-    std::vector<wire::gateway_info_t> serving_gateways;  // gateways that accept clients now
-    std::uint64_t gateways_version = 0;
+    std::map<std::string, report_scope> unsent_targets;  // whose report goes into the next message
+    gateway_list own_gateways;                           // that accept clients and ping this process often
+    gateway_list serving_gateways;                       // of all control processes
+    std::uint64_t logged_gateways_version = 0;
     std::map<std::string, time_point>
         member_heard_at;  // last message of each member; cleared at the start of a term as leader
     bool is_stopping = false;
@@ -100,6 +126,8 @@
     prometheus::Gauge& applied_gauge;
     prometheus::Gauge& targets_gauge;
     prometheus::Gauge& gateways_gauge;
+    owned_timers timers;
+    timer_id propose_timer = 0;
 
     impl(event_loop& loop, const wire::fleet_settings_t& given, metric_registry& metrics)
         : loop(loop), settings(given), peer_port(ip_address::parse(given.peer_address).port),
@@ -119,18 +147,23 @@
           leader_gauge(metrics.gauge("persimmongrade_leader", "1 while this process leads the log.")),
           applied_gauge(metrics.gauge("persimmongrade_applied_index", "Log index of the applied items.")),
           targets_gauge(metrics.gauge("persimmongrade_targets", "Targets known.")),
-          gateways_gauge(metrics.gauge("persimmongrade_gateways", "Gateways heard recently.")) {
+          gateways_gauge(metrics.gauge("persimmongrade_gateways", "Gateways heard recently.")), timers(loop) {
         for (const std::string& seed : this->settings.seeds) {
             this->join_candidates.insert(with_port(seed, this->peer_port));
         }
         this->log.start();
-        loop.every(consensus_tick_interval, [this] { this->tick(); });
-        loop.every(join_interval, [this] { this->send_join_requests(); });
-        loop.every(timeout_check_interval, [this] { this->check_timeouts(); });
-        loop.every(report_batch_interval, [this] { this->send_pending_reports(); });
-        loop.every(storage_retry_interval, [this] { this->reopen_failed_log(); });
+        this->timers.every(consensus_tick_interval, [this] { this->tick(); });
+        this->timers.every(join_interval, [this] { this->send_join_requests(); });
+        this->timers.every(timeout_check_interval, [this] { this->check_timeouts(); });
+        this->timers.every(report_batch_interval, [this] { this->send_pending_reports(); });
+        this->timers.every(member_ping_interval, [this] { this->ping_members(); });
+        this->timers.every(storage_retry_interval, [this] { this->reopen_failed_log(); });
     }
 
+    ~impl() { this->loop.cancel(this->propose_timer); }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
     static consensus_options log_options() {
         consensus_options options;
         options.election_timeout = election_timeout;
@@ -203,6 +236,7 @@
         for (const auto& [id, address] : others) {
             this->join_candidates.insert(address);
         }
+        std::erase_if(this->member_sessions, [&](const auto& entry) { return !others.contains(entry.first); });
         update_member_connections(this->peers, this->connected_members, std::move(others),
                                   [this](const std::string& id, const std::string& address) {
                                       this->peers.add_peer(id, ip_address::parse(address));
@@ -284,10 +318,10 @@
     void receive(const wire::envelope_t& envelope) {
         if (const auto* ping = envelope.body.Asgateway_ping()) {
             this->on_gateway_ping(envelope.from, *ping);
+        } else if (const auto* ping = envelope.body.Asmember_ping()) {
+            this->on_member_ping(envelope.from, *ping);
         } else if (const auto* reports = envelope.body.Astarget_reports()) {
-            for (const auto& report : reports->reports) {
-                this->merge_report(*report);
-            }
+            this->on_reports(envelope.from, *reports);
         } else if (const auto* notice = envelope.body.Asquarantine_notice()) {
             this->on_notice(envelope.from, *notice);
         } else if (const auto* limit = envelope.body.Astarget_limit()) {
@@ -405,7 +439,8 @@
             this->send_items(id, session);
         }
         if (!this->proposed_entry) {
-            this->loop.after(duration::zero(), [this] { this->propose_next(); });
+            this->loop.cancel(this->propose_timer);
+            this->propose_timer = this->loop.after(duration::zero(), [this] { this->propose_next(); });
         }
     }
 
@@ -426,6 +461,55 @@
         }
     }
 
+    // ---- Other control processes ----
+
+    void ping_members() {
+        for (const auto& [id, address] : this->connected_members) {
+            member_session& member = this->member_sessions[id];
+            wire::member_ping_t ping;
+            ping.region = this->settings.region;
+            ping.http_address = this->settings.control_http_address;
+            ping.reports_number = member.received_reports;
+            ping.gateways_list = member.gateways.list();
+            ping.gateways_version = member.gateways.version();
+            ping.gateways = std::make_unique<wire::gateway_changes_t>(
+                this->own_gateways.changes_since(member.known_list, member.known_version));
+            this->peers.send(id, std::move(ping));
+        }
+    }
+
+    void on_member_ping(const std::string& from, const wire::member_ping_t& ping) {
+        if (!this->connected_members.contains(from)) {
+            return;  // not yet, or no longer, a member as far as this process knows
+        }
+        time_point now = this->loop.now();
+        member_session& member = this->member_sessions[from];
+        member.last_ping_at = now;
+        member.region = ping.region;
+        member.http_address = ping.http_address;
+        member.known_list = ping.gateways_list;
+        member.known_version = ping.gateways_version;
+        if (ping.gateways && member.gateways.apply(*ping.gateways)) {
+            this->update_serving_gateways();
+        }
+        if (member.reports.must_resend(now, ping.reports_number, this->peers.queued_bytes(from))) {
+            this->send_own_reports(from, member.reports);
+        }
+    }
+
+    bool hears(const member_session& member) const {
+        return member.last_ping_at != time_point{} && this->loop.now() - member.last_ping_at <= member_timeout;
+    }
+
+    // Whether reports that this process sends to the other control processes reach all gateways.
+    bool hears_all_members() const {
+        return !this->connected_members.empty() &&
+               std::all_of(this->connected_members.begin(), this->connected_members.end(), [this](const auto& entry) {
+                   auto member = this->member_sessions.find(entry.first);
+                   return member != this->member_sessions.end() && this->hears(member->second);
+               });
+    }
+
     // ---- Gateways ----
 
     void on_gateway_ping(const std::string& from, const wire::gateway_ping_t& ping) {
@@ -454,11 +538,11 @@
             session.sent_items_index = ping.applied;
         }
         this->send_items(from, session);
-        bool has_lost_reports =
-            ping.reports_number < session.sent_reports_number && now - session.reports_sent_at > reports_resend_timeout;
-        if (session.is_new || has_lost_reports || ping.reports_number > session.sent_reports_number) {
-            session.sent_reports_number = std::max(session.sent_reports_number, ping.reports_number);
-            this->send_full_reports(from, session);
+        if (!had_wanted_items) {
+            session.reports.restart();
+        }
+        if (ping.wants_items && session.reports.must_resend(now, ping.reports_number, this->peers.queued_bytes(from))) {
+            this->send_all_reports(from, session.reports);
         }
         session.is_new = false;
     }
@@ -466,6 +550,7 @@
     void send_pong(const std::string& from, const wire::gateway_ping_t& ping, bool sent_news) {
         wire::gateway_pong_t pong;
         pong.address = this->settings.peer_address;
+        pong.region = this->settings.region;
         pong.members = this->peer_addresses();
         pong.has_leader = !this->log.leader_id().empty();
         pong.region_gateways = static_cast<std::uint32_t>(
@@ -473,17 +558,28 @@
                           [&](const auto& entry) { return entry.second.last_ping.region == ping.region; }));
         pong.applied = this->items.applied();
         pong.sent_news = sent_news;
-        pong.gateways_version = this->gateways_version;
-        if (ping.gateways_version != this->gateways_version) {
-            for (const auto& gateway : this->serving_gateways) {
+        pong.gateways_version = this->serving_gateways.version();
+        if (ping.takes_changes && ping.wants_items) {
+            pong.changes = std::make_unique<wire::gateway_changes_t>(
+                this->serving_gateways.changes_since(ping.gateways_list, ping.gateways_version));
+        } else if (!ping.takes_changes && ping.gateways_version != pong.gateways_version) {
+            for (const auto& [address, gateway] : this->serving_gateways.entries()) {
                 pong.gateways.push_back(std::make_unique<wire::gateway_info_t>(gateway));
             }
         }
         this->peers.send(from, pong);
     }
 
+    // A fair part of the memory that queues may take: slow gateways must not fill it. They get the rest later.
+    bool has_room(const std::string& id) const {
+        std::size_t receivers = this->gateway_sessions.size() + this->connected_members.size();
+        return this->peers.queued_bytes(id) <=
+               this->settings.memory_mb * bytes_per_mb / 4 / std::max<std::size_t>(1, receivers);
+    }
+
     void send_items(const std::string& id, gateway_session& session) {
-        if (!session.last_ping.wants_items || session.sent_items_index >= this->items.applied()) {
+        bool is_due = session.last_ping.wants_items && session.sent_items_index < this->items.applied();
+        if (!is_due || !this->has_room(id)) {
             return;
         }
         auto delta = this->items.changes_since(session.sent_items_index);
@@ -493,56 +589,108 @@
         }
     }
 
-    void send_reports(const std::string& id, gateway_session& session,
-                      const std::vector<wire::target_report_t>& reports, bool full) {
+    // ---- Reports ----
+    //
+    // A target reports to one control process, which sends what changes to the others. Each sends what changes there to
+    // the gateways whose source it is, so that a change crosses to another region once for each control process there.
+
+    using report_list = std::vector<wire::target_report_t>;
+
+    void send_reports(const std::string& id, std::uint64_t number, const report_list& reports, bool full) {
+        if (!this->has_room(id)) {
+            return;  // the receiver misses this number, and gets everything once its queue is empty
+        }
         wire::target_reports_t message;
-        message.number = ++session.sent_reports_number;
+        message.number = number;
         message.full = full;
         for (const auto& report : reports) {
             message.reports.push_back(std::make_unique<wire::target_report_t>(report));
         }
-        session.reports_sent_at = this->loop.now();
         this->peers.send(id, std::move(message));
     }
 
-    // Sends the targets that report to this process, and those that are not usable. Each target reports to one control
-    // process, so a gateway receives each usable target once.
-    void send_full_reports(const std::string& id, gateway_session& session) {
-        std::vector<wire::target_report_t> reports;
-        this->targets.each([&](const target_registry::entry& target) {
-            if (!target.usable() || this->last_report_at.contains(target.report.id)) {
-                reports.push_back(this->targets.report_with_age(target, this->loop.now()));
-            }
-        });
+    void send_full_reports(const std::string& id, report_stream& stream, const report_list& reports) {
         for (std::size_t i = 0; i == 0 || i < reports.size(); i += max_targets_per_message) {
             auto first = reports.begin() + static_cast<std::ptrdiff_t>(i);
             auto last =
                 reports.begin() + static_cast<std::ptrdiff_t>(std::min(reports.size(), i + max_targets_per_message));
-            this->send_reports(id, session, {first, last}, true);
+            this->send_reports(id, stream.next(), {first, last}, true);
         }
     }
 
+    void send_all_reports(const std::string& id, report_stream& stream) {
+        report_list reports;
+        this->targets.each([&](const target_registry::entry& target) {
+            reports.push_back(this->targets.report_with_age(target, this->loop.now()));
+        });
+        this->send_full_reports(id, stream, reports);
+    }
+
+    // To another control process: the targets that report here, and all that are not usable.
+    void send_own_reports(const std::string& id, report_stream& stream) {
+        report_list reports;
+        this->targets.each([&](const target_registry::entry& target) {
+            if (!target.usable() || this->last_report_at.contains(target.report.id)) {
+                reports.push_back(this->targets.report_with_age(target, this->loop.now()));
+            }
+        });
+        this->send_full_reports(id, stream, reports);
+    }
+
     void send_pending_reports() {
-        if (this->unsent_target_ids.empty()) {
+        if (this->unsent_targets.empty()) {
             return;
         }
-        std::vector<wire::target_report_t> reports;
-        for (const std::string& id : std::exchange(this->unsent_target_ids, {})) {
-            if (const auto* target = this->targets.find(id)) {
-                reports.push_back(this->targets.report_with_age(*target, this->loop.now()));
+        report_list for_members;
+        report_list for_gateways;
+        report_list own_departures;
+        for (const auto& [id, scope] : std::exchange(this->unsent_targets, {})) {
+            const auto* target = this->targets.find(id);
+            if (target == nullptr) {
+                continue;
+            }
+            wire::target_report_t report = this->targets.report_with_age(*target, this->loop.now());
+            bool is_own = this->last_report_at.contains(id);
+            bool is_departure = report.phase != wire::target_phase::ready;
+            if (is_own || is_departure) {
+                for_members.push_back(report);
+            }
+            if (is_own && is_departure) {
+                own_departures.push_back(report);
+            }
+            if (scope == report_scope::everyone) {
+                for_gateways.push_back(std::move(report));
             }
         }
-        for (auto& [id, session] : this->gateway_sessions) {
-            this->send_reports(id, session, reports, false);
+        if (!for_members.empty()) {
+            for (const auto& [id, address] : this->connected_members) {
+                this->send_reports(id, this->member_sessions[id].reports.next(), for_members, false);
+            }
         }
-        for (const auto& [id, address] : this->connected_members) {
-            wire::target_reports_t message;
-            for (const auto& report : reports) {
-                if (this->last_report_at.contains(report.id) || report.phase != wire::target_phase::ready) {
-                    message.reports.push_back(std::make_unique<wire::target_report_t>(report));
-                }
+        // Departures bind once they are acknowledged, whatever happens to the control process that would pass them on.
+        const report_list& for_others = this->hears_all_members() ? own_departures : for_gateways;
+        for (auto& [id, session] : this->gateway_sessions) {
+            if (session.wants_reports() && !for_gateways.empty()) {
+                this->send_reports(id, session.reports.next(), for_gateways, false);
+            } else if (!session.wants_reports() && !for_others.empty()) {
+                this->send_reports(id, 0, for_others, false);
             }
-            this->peers.send(id, std::move(message));
+        }
+    }
+
+    void on_reports(const std::string& from, const wire::target_reports_t& message) {
+        auto member = this->member_sessions.find(from);
+        bool counts = message.number != 0 && member != this->member_sessions.end();
+        if (counts && (message.full || message.number == member->second.received_reports + 1)) {
+            member->second.received_reports = message.number;
+        }
+        std::size_t changed = 0;
+        for (const auto& report : message.reports) {
+            changed += this->merge_report(*report, message.reports.size() <= max_logged_targets) ? 1 : 0;
+        }
+        if (message.reports.size() > max_logged_targets && changed > 0) {
+            log_event("targets", field("changed", changed), field("reports", message.reports.size()),
+                      field("full", message.full), field("from", from), field("known", this->targets.size()));
         }
     }
 
@@ -583,24 +731,50 @@
         }
     }
 
-    // Rebuilds the list that clients get, from the gateways whose recent pings say that they accept clients.
+    // Rebuilds the list that clients get, from the gateways whose recent pings say that they accept clients, and from
+    // those that other control processes hear. What a gateway says here counts more, also when it pings seldom.
     void update_serving_gateways() {
         time_point now = this->loop.now();
-        std::vector<wire::gateway_info_t> serving;
+        std::map<std::string, const gateway_session*> newest;  // by address: each start has a session of its own
         for (const auto& [id, session] : this->gateway_sessions) {
-            if (session.last_ping.serving && now - session.last_ping_at <= gateway_ping_timeout) {
+            const gateway_session*& known = newest[session.last_ping.address];
+            if (known == nullptr || known->last_ping_at < session.last_ping_at) {
+                known = &session;
+            }
+        }
+        gateways_by_address own;
+        for (const auto& [address, session] : newest) {
+            const wire::gateway_ping_t& ping = session->last_ping;
+            if (ping.serving && !ping.far && now - session->last_ping_at <= gateway_ping_timeout) {
                 wire::gateway_info_t info;
-                info.address = session.last_ping.address;
-                info.region = session.last_ping.region;
-                info.zone = session.last_ping.zone;
-                serving.push_back(info);
+                info.address = ping.address;
+                info.region = ping.region;
+                info.zone = ping.zone;
+                own.emplace(address, std::move(info));
             }
         }
-        if (serving != this->serving_gateways) {
-            this->serving_gateways = std::move(serving);
-            ++this->gateways_version;
-            log_event("gateways", field("serving", this->serving_gateways.size()),
-                      field("version", this->gateways_version));
+        gateways_by_address serving = own;
+        for (const auto& [id, member] : this->member_sessions) {
+            if (now - member.last_ping_at > member_gateways_expiry) {
+                continue;
+            }
+            for (const auto& [address, info] : member.gateways.entries()) {
+                auto session = newest.find(address);
+                if (session == newest.end() || session->second->last_ping.serving) {
+                    serving.emplace(address, info);
+                }
+            }
+        }
+        this->own_gateways.replace(std::move(own));
+        this->serving_gateways.replace(std::move(serving));
+    }
+
+    void log_gateways() {
+        if (this->logged_gateways_version != this->serving_gateways.version()) {
+            this->logged_gateways_version = this->serving_gateways.version();
+            log_event("gateways", field("serving", this->serving_gateways.entries().size()),
+                      field("heard", this->own_gateways.entries().size()),
+                      field("version", this->logged_gateways_version));
         }
     }
 
@@ -614,6 +788,7 @@
             return has_expired;
         });
         this->update_serving_gateways();
+        this->log_gateways();
         this->mark_silent_targets(now);
         for (const auto& withdrawn : this->crashes.tick(now)) {
             this->forward({}, withdrawn);
@@ -642,8 +817,8 @@
     // Merges a report that another control process forwarded. Normally the target now reports to that process. It can
     // also be an outdated report, when that process was suspended and then read reports that were queued in its
     // sockets. This process then sends its newer report to that process and to the gateways. Nothing else would correct
-    // them, because a report that changes nothing is not forwarded.
-    void merge_report(const wire::target_report_t& report) {
+    // them, because a report that changes nothing is not forwarded. Returns whether something changed.
+    bool merge_report(const wire::target_report_t& report, bool log) {
         report_effect effect = this->targets.merge(report, this->loop.now());
         if (effect != report_effect::none) {
             this->last_report_at.erase(report.id);
@@ -654,13 +829,16 @@
             if (is_outdated) {
                 log_event("report_outdated", field("target", report.id), field("sequence", report.sequence),
                           field("held_sequence", held.sequence), field("silent", report.silent));
-                this->unsent_target_ids.insert(report.id);
+                this->unsent_targets[report.id] = report_scope::everyone;
             }
         }
         if (effect == report_effect::changed) {
-            this->log_target(*this->targets.find(report.id), "control");
-            this->unsent_target_ids.insert(report.id);
+            if (log) {
+                this->log_target(*this->targets.find(report.id), "control");
+            }
+            this->unsent_targets[report.id] = report_scope::everyone;
         }
+        return effect == report_effect::changed;
     }
 
     void mark_silent_targets(time_point now) {
@@ -676,7 +854,7 @@
                 silent.silent = true;
                 this->targets.merge(silent, now);
                 this->log_target(*target, "silence");
-                this->unsent_target_ids.insert(entry->first);
+                this->unsent_targets[entry->first] = report_scope::everyone;
                 ++entry;
                 continue;
             }
@@ -702,8 +880,10 @@
         if (effect == report_effect::changed) {
             this->log_target(*this->targets.find(id), "target");
         }
-        if (effect == report_effect::changed || (effect == report_effect::renewed && is_first_report_here)) {
-            this->unsent_target_ids.insert(id);
+        if (effect == report_effect::changed) {
+            this->unsent_targets[id] = report_scope::everyone;
+        } else if (effect == report_effect::renewed && is_first_report_here) {
+            this->unsent_targets.try_emplace(id, report_scope::members);
         }
         if (is_leaving) {
             this->send_pending_reports();  // before the report is acknowledged
@@ -756,7 +936,22 @@
 }
 
 std::vector<std::string> fleet_control::gateways_for(const std::string& region, const std::string& zone) const {
-    return nearest_gateways(this->state->serving_gateways, region, zone);
+    return nearest_gateways(this->state->serving_gateways.entries(), region, zone);
+}
+
+std::string fleet_control::reporting_address(const std::string& region, const std::string& target) const {
+    const impl& control = *this->state;
+    std::vector<std::string> near;
+    for (const auto& [id, member] : control.member_sessions) {
+        if (member.region == region && control.hears(member)) {
+            near.push_back(member.http_address);
+        }
+    }
+    if (region == control.settings.region || near.empty()) {
+        return {};
+    }
+    std::sort(near.begin(), near.end());
+    return near[std::hash<std::string>()(target) % near.size()];
 }
 
 void fleet_control::stop(std::function<void()> done) {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "persimmongrade/event_log.h"
@@ -11,12 +12,17 @@
 
 namespace {
 
-constexpr duration ping_interval = ms(300);
+constexpr duration near_ping_interval = ms(300);
+constexpr duration far_ping_interval = ms(1200);    // to control processes that others are nearer to
 constexpr duration initial_ping_interval = ms(60);  // until items are received: requests cannot be served before
-constexpr duration source_timeout = ms(700);        // two missed answers: changes must be in force within 2 s
-constexpr duration max_source_lag = ms(900);        // several hundred items are transferred faster over a 5 Mbit/s link
+constexpr duration source_timeout = ms(500);        // two missed answers: changes must be in force within 2 s
+constexpr duration max_answer_age = ms(700);        // of a control process that becomes the source
+constexpr duration max_source_lag = ms(900);        // several hundred items are transferred faster over 5 Mbit/s
+constexpr duration source_return_delay = ms(3000);  // to one of the own region, after it answers again
+constexpr duration gateways_hold = ms(700);         // control processes tell a new source of their gateways meanwhile
 // Three missed answers: the connection may be dead without having been reset.
 constexpr duration control_timeout = ms(1000);
+constexpr std::size_t max_logged_targets = 8;      // of one message, by themselves
 constexpr duration gateway_count_hold = ms(2000);  // several pings of every gateway to a control process that started
 // A control process that left the consensus group is dropped after this time without an answer.
 constexpr duration departed_member_retention = ms(15000);
@@ -51,12 +57,13 @@
       limits(state.limits), on_update(std::move(on_update)),
       peers(
           loop, given.cluster, gateway_id(given), ip_address::parse(given.peer_address), metrics,
-          [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peers) {
+          [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peers),
+      timers(loop) {
     this->set_seeds(given.seeds);
-    loop.every(ping_interval, [this] { this->ping_all(); });
-    this->initial_ping_timer = loop.every(initial_ping_interval, [this] {
-        if (this->items.empty()) {
-            this->ping_all();
+    this->timers.every(near_ping_interval, [this] { this->ping_peers(ping_scope::due); });
+    this->initial_ping_timer = this->timers.every(initial_ping_interval, [this] {
+        if (this->source.empty()) {
+            this->ping_peers(ping_scope::due);
         } else {
             this->loop.cancel(std::exchange(this->initial_ping_timer, 0));
         }
@@ -85,76 +92,84 @@
 void control_link::set_serving(bool now_serving) {
     if (this->serving != now_serving) {
         this->serving = now_serving;
-        this->ping_all();
+        this->ping_peers(ping_scope::all);
     }
 }
 
 std::size_t control_link::reachable_count(time_point now) const {
     return static_cast<std::size_t>(
         std::count_if(this->control_peers.begin(), this->control_peers.end(), [&](const auto& entry) {
-            return entry.second.is_reachable && now - entry.second.answered_at <= control_timeout;
+            return entry.second.is_reachable && !entry.second.is_silent(now, control_timeout);
         }));
 }
 
-// All control processes replicate the same items. Only one of them, the source, sends items, because links are slow.
-// The source is replaced when it does not answer, or when it fails to send changes that others have applied.
-void control_link::select_source(time_point now) {
-    bool others_are_ahead = std::any_of(this->control_peers.begin(), this->control_peers.end(), [&](const auto& entry) {
-        return entry.second.is_reachable && entry.second.applied > this->items.applied();
+// ---- Source ----
+
+// Whether others have applied more than this gateway for too long, or have a leader while the source has none: it may
+// be cut off from the majority.
+bool control_link::is_behind(time_point now, const control_peer& current) {
+    bool is_passed = std::any_of(this->control_peers.begin(), this->control_peers.end(), [&](const auto& entry) {
+        const control_peer& other = entry.second;
+        return other.is_reachable &&
+               (other.applied > this->items.applied() || (other.has_leader && !current.has_leader));
     });
-    if (!others_are_ahead) {
-        this->source_lagging_since = time_point{};
-    } else if (this->source_lagging_since == time_point{}) {
-        this->source_lagging_since = now;
+    if (!is_passed) {
+        this->source_behind_since = time_point{};
+    } else if (this->source_behind_since == time_point{}) {
+        this->source_behind_since = now;
     }
+    return is_passed && now - this->source_behind_since > max_source_lag;
+}
+
+bool control_link::is_better_source(const control_peer& other, const control_peer& chosen) const {
+    auto rank = [this](const control_peer& peer) {
+        return std::tuple(peer.has_leader, peer.applied, peer.region == this->settings.region);
+    };
+    return rank(other) > rank(chosen);
+}
+
+// All control processes replicate the same items, and tell each other of targets and gateways. Only one of them, the
+// source, sends these here, because links are slow. The source is replaced when it does not answer, when it fails to
+// send changes that others have applied, and when one in the own region has come back.
+void control_link::select_source(time_point now) {
     auto current = this->control_peers.find(this->source);
-    bool silent = current == this->control_peers.end() || now - current->second.answered_at > source_timeout;
-    bool lagging = this->source_lagging_since != time_point{} && now - this->source_lagging_since > max_source_lag;
-    if (!silent && !lagging) {
+    bool is_lost = current == this->control_peers.end() || current->second.is_silent(now, source_timeout);
+    bool is_behind = !is_lost && this->is_behind(now, current->second);
+    bool is_remote = !is_lost && current->second.region != this->settings.region;
+    if (!is_lost && !is_behind && !is_remote) {
         return;
     }
-    const std::string before = this->source;
-    std::uint64_t most = 0;
-    for (const auto& [address, known] : this->control_peers) {
-        bool better = known.is_reachable && address != before && now - known.answered_at <= source_timeout &&
-                      (this->source == before || known.applied > most);
-        if (better) {
-            this->source = address;
-            most = known.applied;
+    const std::string* best = nullptr;
+    for (const auto& [address, peer] : this->control_peers) {
+        bool can_replace = address != this->source && peer.is_reachable && now - peer.answered_at <= max_answer_age;
+        if (!is_lost && !is_behind) {  // for the sake of the region only
+            can_replace = can_replace && peer.region == this->settings.region && peer.has_leader &&
+                          peer.applied >= this->items.applied() && now - peer.reachable_since > source_return_delay;
+        }
+        if (can_replace && (best == nullptr || this->is_better_source(peer, this->control_peers.at(*best)))) {
+            best = &address;
         }
     }
-    if (this->source != before) {
-        this->source_lagging_since = time_point{};
-        this->news_received = false;
-        log_event("items_source", field("before", before), field("control", this->source), field("silent", silent),
-                  field("behind", lagging), field("applied", this->items.applied()), field("known_there", most));
+    if (best != nullptr) {
+        log_event("items_source", field("before", this->source), field("control", *best), field("silent", is_lost),
+                  field("behind", is_behind), field("applied", this->items.applied()),
+                  field("known_there", this->control_peers.at(*best).applied));
+        this->set_source(*best);
     }
 }
 
-std::vector<wire::gateway_info_t> control_link::gateways(time_point now) const {
-    std::map<std::string, std::pair<std::size_t, const wire::gateway_info_t*>> votes;  // by address
-    std::size_t voters = 0;
-    for (const auto& [address, known] : this->control_peers) {
-        if (!known.is_reachable || now - known.answered_at > control_timeout) {
-            continue;
-        }
-        ++voters;
-        for (const auto& gateway : known.gateways) {
-            auto& vote = votes[gateway.address];
-            ++vote.first;
-            vote.second = &gateway;
-        }
-    }
-    std::vector<wire::gateway_info_t> agreed;
-    for (const auto& [address, vote] : votes) {
-        if (vote.first * 2 >= voters) {
-            agreed.push_back(*vote.second);
-        }
-    }
-    return agreed;
+void control_link::set_source(const std::string& address) {
+    this->source = address;
+    this->source_selected_at = this->loop.now();
+    this->source_behind_since = time_point{};
+    this->news_received = false;
+    this->ping(address, this->control_peers.at(address), true);
 }
 
-void control_link::ping(const std::string& address, control_peer& to) {
+// ---- Pings ----
+
+void control_link::ping(const std::string& address, control_peer& to, bool near) {
+    time_point now = this->loop.now();
     wire::gateway_ping_t message;
     message.address = this->settings.front_address;
     message.region = this->settings.region;
@@ -162,34 +177,67 @@
     message.serving = this->serving;
     message.applied = this->items.applied();
     message.reports_number = to.reports_number;
-    message.gateways_version = to.gateways_version;
+    message.takes_changes = true;
+    message.gateways_list = to.gateways.list();
+    message.gateways_version = to.gateways.version();
     message.wants_items = address == this->source;
     message.wants_news = message.wants_items && !this->news_received;
+    message.far = !near;
+    to.pinged_at = now;
+    if (to.unanswered_since == time_point{}) {
+        to.unanswered_since = now;
+    }
     this->peers.send(address, message);
 }
 
-void control_link::ping_all() {
+bool control_link::must_ping_all_often(time_point now) const {
+    auto current = this->control_peers.find(this->source);
+    bool has_source = current != this->control_peers.end() && !current->second.is_silent(now, source_timeout) &&
+                      current->second.has_leader;
+    bool has_region = std::any_of(this->control_peers.begin(), this->control_peers.end(), [&](const auto& entry) {
+        return entry.second.is_reachable && entry.second.region == this->settings.region;
+    });
+    return !has_source || !has_region;
+}
+
+bool control_link::is_near(const std::string& address, const control_peer& peer, bool all_near) const {
+    return all_near || address == this->source || peer.region.empty() || peer.region == this->settings.region;
+}
+
+void control_link::drop_connection_if_silent(time_point now, const std::string& address, control_peer& peer) {
+    if (!peer.is_silent(now, control_timeout)) {
+        return;
+    }
+    if (peer.is_reachable) {
+        peer.is_reachable = false;
+        log_event("control_lost", field("control", address), field("silent_ms", (now - peer.answered_at).count()));
+    }
+    if (now - peer.connected_at > control_timeout) {
+        peer.connected_at = now;
+        this->peers.remove_peer(address);
+        this->peers.add_peer(address, ip_address::parse(address));
+    }
+}
+
+void control_link::ping_peers(ping_scope scope) {
     time_point now = this->loop.now();
-    std::vector<std::string> dropped;
     this->select_source(now);
-    for (auto& [address, known] : this->control_peers) {
-        bool silent = now - known.answered_at > control_timeout;
-        if (silent && known.is_reachable) {
-            known.is_reachable = false;
-            log_event("control_lost", field("control", address), field("silent_ms", (now - known.answered_at).count()));
-        }
-        if (silent && now - known.connected_at > control_timeout) {
-            known.connected_at = now;
-            this->peers.remove_peer(address);
-            this->peers.add_peer(address, ip_address::parse(address));
-        }
-        if (now - known.answered_at > departed_member_retention && !this->seeds.contains(address) &&
+    bool all_near = this->must_ping_all_often(now);
+    std::vector<std::string> departed;
+    for (auto& [address, peer] : this->control_peers) {
+        this->drop_connection_if_silent(now, address, peer);
+        if (now - peer.answered_at > departed_member_retention && !this->seeds.contains(address) &&
             this->reachable_count(now) > 0) {
-            dropped.push_back(address);
+            departed.push_back(address);
+            continue;
+        }
+        bool near = this->is_near(address, peer, all_near);
+        bool is_due = near || !peer.is_reachable || now - peer.pinged_at >= far_ping_interval;
+        if (scope == ping_scope::all || is_due) {
+            this->ping(address, peer, near);
         }
-        this->ping(address, known);
     }
-    for (const std::string& address : dropped) {
+    for (const std::string& address : departed) {
         this->peers.remove_peer(address);
         this->control_peers.erase(address);
     }
@@ -290,13 +338,12 @@
     control_peer& known = this->control_peers.at(pong.address);
     time_point now = this->loop.now();
     known.answered_at = now;
+    known.unanswered_since = time_point{};
     known.region_gateways = std::max(1U, pong.region_gateways);
     this->count_gateways(now);
+    known.region = pong.region;
     known.applied = pong.applied;
-    if (this->source.empty()) {
-        this->source = pong.address;
-        this->ping(pong.address, known);
-    }
+    known.has_leader = pong.has_leader;
     if (known.id != from || !known.is_reachable) {
         known.knows_news = false;
         this->news_received = this->news_received && pong.address != this->source;
@@ -305,30 +352,41 @@
         this->address_by_id.erase(known.id);
         known.id = from;
         known.reports_number = 0;
-        known.gateways_version = 0;
         this->address_by_id[from] = pong.address;
     }
-    if (pong.gateways_version != known.gateways_version) {
-        known.gateways_version = pong.gateways_version;
-        known.gateways.clear();
-        for (const auto& gateway : pong.gateways) {
-            known.gateways.push_back(*gateway);
-        }
-    }
-    if (!known.knows_news) {
-        this->send_all_news(pong.address, known);
-    }
-    this->news_received = this->news_received || (pong.sent_news && pong.address == this->source);
     if (!known.is_reachable) {
         known.is_reachable = true;
+        known.reachable_since = now;
         log_event("control_regained", field("control", pong.address), field("id", from),
                   field("has_leader", pong.has_leader));
     }
+    if (this->source.empty()) {
+        this->set_source(pong.address);
+    } else if (this->must_ping_all_often(now)) {
+        this->select_source(now);
+    }
+    this->update_gateways(now, pong);
+    if (!known.knows_news) {
+        this->send_all_news(pong.address, known);
+    }
+    this->news_received = this->news_received || (pong.sent_news && pong.address == this->source);
     for (const std::string& member : pong.members) {
         this->add_control_peer(member);
     }
 }
 
+// A process that has just become the source may not yet know of the gateways that ping others.
+void control_link::update_gateways(time_point now, const wire::gateway_pong_t& pong) {
+    gateway_list_copy& copy = this->control_peers.at(pong.address).gateways;
+    if (pong.changes) {
+        copy.apply(*pong.changes);
+    }
+    bool is_complete = this->known_gateways.empty() || now - this->source_selected_at >= gateways_hold;
+    if (pong.address == this->source && is_complete && copy.version() != 0) {
+        this->known_gateways = copy.entries();
+    }
+}
+
 void control_link::on_reports(const std::string& from, const wire::target_reports_t& message) {
     if (control_peer* known = this->find_control_peer(from)) {
         if (message.full || message.number == known->reports_number + 1) {
@@ -337,12 +395,14 @@
     }
     control_update update;
     time_point now = this->loop.now();
+    std::size_t changed = 0;
     for (const auto& report : message.reports) {
         report_effect effect = this->targets.merge(*report, now);
         if (effect != report_effect::none) {
             update.targets.push_back(report->id);
         }
-        if (effect == report_effect::changed) {
+        changed += effect == report_effect::changed ? 1 : 0;
+        if (effect == report_effect::changed && message.reports.size() <= max_logged_targets) {
             log_event("target", field("target", report->id), field("service", report->service),
                       field("address", report->address), field("phase", wire::EnumNametarget_phase(report->phase)),
                       field("silent", report->silent), field("started_at", report->started_at_ms),
@@ -350,6 +410,10 @@
                       field("age_ms", report->age_ms));
         }
     }
+    if (changed > 0 && message.reports.size() > max_logged_targets) {
+        log_event("targets", field("changed", changed), field("reports", message.reports.size()),
+                  field("full", message.full), field("from", from), field("known", this->targets.size()));
+    }
     if (!update.targets.empty()) {
         this->on_update(update);
     }
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -4,6 +4,10 @@
 //     control_link link(loop, settings, metrics, state, [](const control_update& update) { ... });
 //     link.send_notices(state.crashes.target_down(now, service, target));
 //
+// One control process, the source, sends items, reports of targets and the list of gateways; it is one of the own
+// region while that has one. The gateway pings the control processes of its region and its source often, and the others
+// seldom, or all of them often while it looks for a source or none of its region answers.
+//
 // Notices and limits go to every control process. Each passes news on to the others, and to the gateways whose source
 // it is. A process that was not connected gets everything when it answers again, which takes at most control_timeout
 // and a ping interval after the connection works.
@@ -17,6 +21,7 @@
 #include <vector>
 
 #include "persimmongrade/event_loop.h"
+#include "persimmongrade/gateway_list.h"
 #include "persimmongrade/item_store.h"
 #include "persimmongrade/metrics.h"
 #include "persimmongrade/peer_transport.h"
@@ -53,33 +58,50 @@
     void set_seeds(const std::vector<std::string>& http_addresses);
     // Largest count that a control process reported within gateway_count_hold; at least 1.
     unsigned gateways_in_region() const noexcept { return this->counted_gateways; }
-    std::size_t reachable_count(time_point now) const;  // control processes that answered within the last second
-    // Gateways that take clients, according to at least half of the reachable control processes.
-    std::vector<wire::gateway_info_t> gateways(time_point now) const;
+    std::size_t reachable_count(time_point now) const;  // control processes that answered the last pings
+    // Gateways that take clients, in all regions, according to the source.
+    const gateways_by_address& gateways() const noexcept { return this->known_gateways; }
 
 private:
     struct control_peer {
         time_point answered_at{};
+        time_point pinged_at{};
+        time_point unanswered_since{};  // first ping after the last answer; zero: answered
         time_point connected_at{};
-        std::string id;  // process id of its last answer; each start has its own
+        time_point reachable_since{};
+        std::string id;      // process id of its last answer; each start has its own
+        std::string region;  // empty: not known
         std::uint64_t reports_number = 0;
         unsigned region_gateways = 1;
-        std::uint64_t gateways_version = 0;
         std::uint64_t applied = 0;  // log index that it has applied
-        std::vector<wire::gateway_info_t> gateways;
+        bool has_leader = false;
+        gateway_list_copy gateways;
         bool is_reachable = false;
         bool knows_news = false;  // was sent all notices and limits that this gateway knows
+
+        bool is_silent(time_point now, duration timeout) const {
+            return this->unanswered_since != time_point{} && now - this->unanswered_since > timeout;
+        }
     };
 
-    void ping_all();
+    enum class ping_scope : std::uint8_t { due, all };
+
+    void ping_peers(ping_scope scope);
+    bool is_near(const std::string& address, const control_peer& peer, bool all_near) const;
+    bool must_ping_all_often(time_point now) const;
+    void drop_connection_if_silent(time_point now, const std::string& address, control_peer& peer);
+    bool is_behind(time_point now, const control_peer& current);
+    bool is_better_source(const control_peer& other, const control_peer& chosen) const;
     void select_source(time_point now);
-    void ping(const std::string& address, control_peer& to);
+    void set_source(const std::string& address);
+    void ping(const std::string& address, control_peer& to, bool near);
     void receive(const wire::envelope_t& envelope);
     template <typename News>
     void send_news(const News& news);
     void send_all_news(const std::string& address, control_peer& to);
     void count_gateways(time_point now);
     void on_pong(const std::string& from, const wire::gateway_pong_t& pong);
+    void update_gateways(time_point now, const wire::gateway_pong_t& pong);
     void on_reports(const std::string& from, const wire::target_reports_t& message);
     void add_control_peer(const std::string& address);
     control_peer* find_control_peer(const std::string& id);
@@ -95,13 +117,16 @@
     std::map<std::string, control_peer> control_peers;  // by peer address
     std::map<std::string, std::string> address_by_id;   // peer address by process id
     bool serving = false;
-    std::string source;          // peer address of the control process that is asked for items and news
+    std::string source;  // peer address of a control process
+    time_point source_selected_at{};
+    gateways_by_address known_gateways;
     bool news_received = false;  // the source has sent all that it knows
     unsigned counted_gateways = 1;
     time_point fewer_gateways_since{};  // zero: as many as counted
-    time_point source_lagging_since{};  // when another control process got ahead of the applied items; zero: none is
+    time_point source_behind_since{};   // when another control process became the better source; zero: none is
     timer_id initial_ping_timer = 0;
     peer_transport peers;
+    owned_timers timers;
 };
 
 }  // namespace persimmongrade
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -169,7 +169,7 @@
     front_server front;
     std::unordered_map<request_id, std::unique_ptr<request>> requests;
     std::map<std::string, retry_budget> retry_budgets;      // by service
-    std::vector<wire::gateway_info_t> serving_gateways;     // that take clients, as of the last refresh
+    gateways_by_address serving_gateways;                   // that take clients, as of the last refresh
     std::map<std::string, time_point> evacuation_ended_at;  // by zone
     std::set<std::string> evacuated;
     request_id next_id = 1;
@@ -284,11 +284,11 @@
         bool own_region = report.region == this->settings.region;
         bool region_has_gateways =
             own_region || std::any_of(this->serving_gateways.begin(), this->serving_gateways.end(),
-                                      [&](const auto& gateway) { return gateway.region == report.region; });
+                                      [&](const auto& entry) { return entry.second.region == report.region; });
         std::vector<std::string> sharing;
-        for (const auto& gateway : this->serving_gateways) {
+        for (const auto& [address, gateway] : this->serving_gateways) {
             if (!region_has_gateways || gateway.region == report.region) {
-                sharing.push_back(gateway.address);
+                sharing.push_back(address);
             }
         }
         double rate = std::max(*named, min_limited_rate);
@@ -342,7 +342,7 @@
             this->request_dispatcher.remove_target(id);
             this->limits.forget(id);
         }
-        this->serving_gateways = this->control.gateways(now);
+        this->serving_gateways = this->control.gateways();
         for (const std::string& id : this->limits.limited()) {
             this->update_target(id);  // the number of gateways may have changed
         }
@@ -958,7 +958,7 @@
 }
 
 std::vector<std::string> gateway::gateways_for(const std::string& region, const std::string& zone) const {
-    return nearest_gateways(this->state->control.gateways(this->state->loop.now()), region, zone);
+    return nearest_gateways(this->state->control.gateways(), region, zone);
 }
 
 void gateway::reload(const wire::fleet_settings_t& settings) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -47,6 +47,11 @@
     ::setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void keep_unsent_bytes_in_process(h2o_socket_t* socket) {
+    constexpr int most_bytes = 32768;
+    ::setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &most_bytes, sizeof(most_bytes));
+}
+
 void set_liveness(h2o_socket_t* socket, duration unacknowledged) {
     constexpr int idle_seconds = 1;
     constexpr int interval_seconds = 1;
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -108,6 +108,7 @@
     void start_reading() {
         this->established = true;
         set_no_delay(this->socket);
+        keep_unsent_bytes_in_process(this->socket);
         set_liveness(this->socket, this->unacknowledged);
         h2o_socket_read_start(this->socket, [](h2o_socket_t* sock, const char* failure) {
             auto& self = *static_cast<connection*>(sock->data);
@@ -119,6 +120,8 @@
         });
     }
 
+    std::size_t queue_size() const noexcept { return this->queued_bytes; }
+
     bool enqueue(std::string frame) {
         if (this->queued_bytes + frame.size() > max_send_queue_bytes) {
             return false;
@@ -486,6 +489,11 @@
     return this->state->route(id) != nullptr;
 }
 
+std::size_t peer_transport::queued_bytes(const std::string& id) const {
+    const connection* route = this->state->route(id);
+    return route == nullptr ? 0 : route->queue_size();
+}
+
 std::uint64_t peer_transport::connection_changes() const noexcept {
     return this->state->changes;
 }
--- a/tests/fleet/test_fleet.cpp
+++ b/tests/fleet/test_fleet.cpp
@@ -1,127 +1,20 @@
 // Tests of fleet_control: three control processes on one event loop. The test takes the part of the targets, and of a
 // gateway that only connects to the control processes.
 
-#include <catch2/catch.hpp>
-
-#include <stdlib.h>
-#include <unistd.h>
-
-#include <filesystem>
-#include <memory>
-#include <string>
-#include <vector>
-
-#include "control_link.h"
-#include "persimmongrade/fleet_control.h"
-#include "persimmongrade/item_store.h"
-#include "persimmongrade/target_registry.h"
+#include "fleet_fixture.h"
 
 using namespace persimmongrade;
 
 namespace {
 
-constexpr std::size_t control_count = 3;
-constexpr duration heartbeat = ms(200);  // of targets; a target is silent after 3.5 intervals without a report
-
-std::string address(std::size_t host, int port) {
-    int process = ::getpid();
-    return "127.12." + std::to_string(process % 250) + "." + std::to_string(host + 1) + ":" + std::to_string(port);
-}
-
-std::vector<std::string> control_addresses() {
-    std::vector<std::string> addresses;
-    for (std::size_t i = 0; i < control_count; ++i) {
-        addresses.push_back(address(i, 7200));
-    }
-    return addresses;
-}
-
-wire::target_report_t make_heartbeat(const std::string& id, std::uint64_t sequence) {
-    wire::target_report_t report;
-    report.id = id;
-    report.service = "orders";
-    report.address = "10.0.0.1:8000";
-    report.region = "north";
-    report.zone = "north-1";
-    report.slots = 4;
-    report.phase = wire::target_phase::ready;
-    report.sequence = sequence;
-    report.started_at_ms = 1000;
-    return report;
-}
-
-// Gateway reduced to its connections to the control processes. `host` is the last part of its IP address, minus one.
-class stub_gateway {
-public:
-    stub_gateway(event_loop& loop, std::size_t host)
-        : link(loop, gateway_settings(host), this->metrics, {this->items, this->targets, this->crashes, this->limits},
-               [](const control_update&) {}) {}
-
-    bool usable(const std::string& id) const {
-        const auto* known = this->targets.find(id);
-        return known != nullptr && known->usable();
-    }
-
-    item_store items;
-    quarantine crashes;
-    target_limits limits;
-
-private:
-    static wire::fleet_settings_t gateway_settings(std::size_t host) {
-        wire::fleet_settings_t settings;
-        settings.cluster = "test";
-        settings.region = "north";
-        settings.zone = "north-1";
-        settings.peer_address = address(host, 7100);
-        settings.front_address = address(host, 7200);
-        settings.seeds = control_addresses();
-        return settings;
-    }
-
-    metric_registry metrics;
-    target_registry targets;
-
-public:
-    control_link link;
-};
-
-class deployment {
+class deployment : public fleet_fixture {
 public:
     deployment() {
-        char name[] = "/tmp/persimmongrade-fleet-XXXXXX";
-        this->directory = ::mkdtemp(name);
-        for (std::size_t i = 0; i < control_count; ++i) {
-            wire::fleet_settings_t settings;
-            settings.cluster = "test";
-            settings.node = "control-" + std::to_string(i);
-            settings.region = "north";
-            settings.zone = "north-1";
-            settings.peer_address = address(i, 7100);
-            settings.control_http_address = address(i, 7200);
-            settings.heartbeat_ms = static_cast<std::uint32_t>(heartbeat.count());
-            settings.bootstrap = true;
-            settings.data_directory = this->directory + "/" + settings.node;
-            settings.seeds = control_addresses();
-            this->metrics.push_back(std::make_unique<metric_registry>());
-            this->control.push_back(std::make_unique<fleet_control>(this->loop, settings, *this->metrics.back()));
-        }
         this->gateway = std::make_unique<stub_gateway>(this->loop, 100);
         this->loop.run_for(ms(2500));  // an election, and the first connections
     }
 
-    ~deployment() {
-        this->control.clear();
-        std::filesystem::remove_all(this->directory);
-    }
-
-    deployment(const deployment&) = delete;
-    deployment& operator=(const deployment&) = delete;
-
-    event_loop loop;
-    std::vector<std::unique_ptr<metric_registry>> metrics;
-    std::vector<std::unique_ptr<fleet_control>> control;
     std::unique_ptr<stub_gateway> gateway;
-    std::string directory;
 };
 
 }  // namespace
