A gateway that stops takes only requests whose deadline lies in its grace time

Cause: until its time was out it took requests and passed them on; at the end all that were open were cut without an answer, among them some that may not be repeated (report on LOST). Change: planned_stop decides what is taken, when the rest is answered (503 if it has not run, else 504), and when the process ends.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,6 +20,7 @@
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/retry_budget.h"
 #include "persimmongrade/target_limits.h"
+#include "planned_stop.h"
 #include "route_table.h"
 #include "target_client.h"
 
@@ -52,9 +53,8 @@
 constexpr double ms_per_second = 1000;
 constexpr double min_limited_rate = 0.5;      // requests per second; their answers tell when a target's limit has ended
 constexpr double spare_limited_requests = 4;  // at once, beyond twice the rate, whatever limit a target names
-constexpr duration client_departure_time = ms(2500);  // until clients have queried the directory again
 constexpr duration stop_check_interval = ms(50);
-constexpr duration stop_margin = ms(300);              // ends a stop this long before the process is killed
+constexpr duration elsewhere_retry_after = ms(20);     // another gateway can serve the request at once
 constexpr std::size_t descriptors_per_connection = 3;  // one of the client, and its share of connections to targets
 constexpr std::size_t bytes_per_mb = 1048576;
 
@@ -175,7 +175,7 @@
     request_id next_id = 1;
     std::uint64_t successes = 0;
     timer_id poll_timer = 0;
-    bool is_stopping = false;
+    std::optional<planned_stop> stopping;
     metric_registry& metrics;
     std::map<std::string, prometheus::Counter*> outcomes;
     prometheus::Histogram& answer_seconds;
@@ -368,7 +368,7 @@
         }
     }
 
-    bool ready() const { return !this->items.empty() && !this->is_stopping; }
+    bool ready() const { return !this->items.empty() && !this->stopping; }
 
     // ---- Requests from clients ----
 
@@ -422,6 +422,10 @@
             std::min<std::uint64_t>(client_timeout_ms.value_or(rule.timeout_ms), max_client_timeout_ms)));
         entry.client_deadline = now + client_timeout;
         entry.deadline = now + std::max(ms(1), std::min(timeout, client_timeout - answer_margin));
+        if (this->stopping && !this->stopping->can_end(entry.deadline)) {
+            this->reject_unavailable(entry, "stopping", elsewhere_retry_after);
+            return;
+        }
         entry.dispatch = {entry.id,
                           entry.service,
                           rule.sticky ? object : 0,
@@ -929,19 +933,46 @@
 
     // ---- Stop ----
 
-    void check_stop(time_point began, const std::function<void()>& done) {
-        duration age = this->loop.now() - began;
-        if (age >= client_departure_time) {
+    // Tells the truth about what is open when the time is over: not run, or perhaps run.
+    void end_all_requests() {
+        std::vector<request_id> open;
+        for (const auto& [id, entry] : this->requests) {
+            open.push_back(id);
+        }
+        for (request_id id : open) {
+            auto found = this->requests.find(id);
+            if (found == this->requests.end()) {
+                continue;
+            }
+            request& entry = *found->second;
+            if (entry.client_answered) {
+                this->cancel_flights(entry);
+                this->loop.cancel(entry.deadline_timer);
+                this->requests.erase(found);
+            } else if (entry.attempts == 0 && entry.in_flight_calls.empty()) {
+                this->reject_unavailable(entry, "stopping", elsewhere_retry_after);
+            } else {
+                this->end(entry, {status_timeout, {}, ""}, "stopping");
+            }
+        }
+    }
+
+    void check_stop(const std::function<void()>& done) {
+        time_point now = this->loop.now();
+        if (this->stopping->closes_idle(now)) {
             this->front.close_idle();
         }
-        bool quiet = age >= client_departure_time && this->requests.empty() && this->front.open_connections() == 0;
-        if (quiet || age >= ms(this->settings.stop_timeout_ms) - stop_margin) {
+        if (this->stopping->ends_requests(now)) {
+            this->end_all_requests();
+        }
+        if (this->stopping->is_over(now, this->requests.size(), this->front.open_connections())) {
             log_event("stopped", field("open_requests", this->requests.size()),
-                      field("open_connections", this->front.open_connections()), field("took_ms", age.count()));
+                      field("open_connections", this->front.open_connections()),
+                      field("took_ms", this->stopping->age(now).count()));
             done();
             return;
         }
-        this->loop.after(stop_check_interval, [this, began, done] { this->check_stop(began, done); });
+        this->loop.after(stop_check_interval, [this, done] { this->check_stop(done); });
     }
 };
 
@@ -975,14 +1006,15 @@
 
 void gateway::stop(const std::function<void()>& done) {
     impl& entry = *this->state;
-    if (std::exchange(entry.is_stopping, true)) {
+    if (entry.stopping) {
         return;
     }
+    entry.stopping.emplace(entry.loop.now(), ms(entry.settings.stop_timeout_ms));
     log_event("stopping", field("open_requests", entry.requests.size()),
               field("open_connections", entry.front.open_connections()));
     entry.control.set_serving(false);
     entry.front.close_after_answer();
-    entry.check_stop(entry.loop.now(), done);
+    entry.check_stop(done);
 }
 
 }  // namespace persimmongrade
