--- a/tests/gateway/test_connections.cpp
+++ b/tests/gateway/test_connections.cpp
@@ -176,6 +176,42 @@
     }
 }
 
+// Reported by operators of similar systems: clients got a 200 with an empty or short body, framed as whole.
+TEST_CASE("an answer that ends early, at any byte, by a close or a reset, is never taken for a whole one") {
+    struct framing {
+        std::string head;
+        std::string body;
+        bool ends_with_close = false;  // once the head is whole, a close ends the answer properly
+    };
+    const std::string status = "HTTP/1.1 200 OK\r\nAttempt: a\r\n";
+    const std::vector<framing> framings = {
+        {status + "Content-Length: 5\r\n\r\n", "hello"},
+        {status + "Transfer-Encoding: chunked\r\n\r\n", "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"},
+        {status + "\r\n", "hello", true},
+        {"HTTP/1.1 100 Continue\r\n\r\n" + status + "Content-Length: 5\r\n\r\n", "hello"},
+    };
+    event_loop loop;
+    std::uint16_t port = 8700;
+    for (const framing& kind : framings) {
+        const std::string whole = kind.head + kind.body;
+        for (const char* ending : {scripted_target::close_now, scripted_target::reset_now}) {
+            bool closes_properly = kind.ends_with_close && ending == scripted_target::close_now;
+            std::size_t cuts = closes_properly ? kind.head.size() : whole.size();
+            std::vector<std::string> answers;
+            for (std::size_t cut = 0; cut < cuts; ++cut) {
+                answers.push_back(whole.substr(0, cut) + ending);
+            }
+            ip_address address = raw_connection::own_address(port++);
+            scripted_target target(address, answers);
+            target_client client(loop, {});
+            for (std::size_t cut = 0; cut < cuts; ++cut) {
+                CAPTURE(kind.head, ending, cut);
+                CHECK(ask(loop, client, address, "a").status == target_call_status::lost);
+            }
+        }
+    }
+}
+
 TEST_CASE("an answer without end is given up, in its head, its framing or its body") {
     event_loop loop;
     const std::string head = "HTTP/1.1 200 OK\r\n";
