A gateway that changes its source tells the former one at once; distant control processes are pinged every 2.4 s

Cause: the former source went on sending changes until the next ping. Seen by the test of single delivery with the longer interval: 2 messages for a change instead of 1, on 8 of 12 gateways.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr duration near_ping_interval = ms(300);
-constexpr duration far_ping_interval = ms(1200);    // to control processes that others are nearer to
+constexpr duration far_ping_interval = ms(2400);    // to control processes that others are nearer to
 constexpr duration initial_ping_interval = ms(60);  // until items are received: requests cannot be served before
 constexpr duration source_timeout = ms(500);        // two missed answers: changes must be in force within 2 s
 constexpr duration max_answer_age = ms(700);        // of a control process that becomes the source
@@ -159,11 +159,15 @@
 }
 
 void control_link::set_source(const std::string& address) {
-    this->source = address;
+    std::string before = std::exchange(this->source, address);
     this->source_selected_at = this->loop.now();
     this->source_behind_since = time_point{};
     this->news_received = false;
     this->ping(address, this->control_peers.at(address), true);
+    auto former = this->control_peers.find(before);
+    if (former != this->control_peers.end()) {  // stops sending at once, not with the next ping
+        this->ping(before, former->second, this->is_near(before, former->second, false));
+    }
 }
 
 // ---- Pings ----
