An edge that stops refuses requests whose deadline lies behind its grace time

Cause: as at gateways, an edge took requests on open connections until its time was out; the flag for it (refuse_new_work) was never read. Change: planned_stop serves edges and gateways. Result: tests/edge, a request with 2 s to go 1.5 s before the end: passed on to the target before, refused with stopping now.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -17,6 +18,7 @@
 #include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
 #include "persimmongrade/metrics.h"
+#include "persimmongrade/planned_stop.h"
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/retry_policy.h"
 #include "persimmongrade/settings.h"
@@ -48,7 +50,7 @@
     service_meter meter;
     std::mt19937_64 random;
     wire::edge_state state = wire::edge_state::starting;
-    bool refuse_new_work = false;  // late in a planned stop
+    std::optional<planned_stop> stopping;
     std::size_t running_requests = 0;
     std::map<std::string, std::deque<std::weak_ptr<execution>>> queues;
 
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -81,7 +81,6 @@
     std::optional<time_point> relay_timer_at;
     std::vector<timer_id> timers;
     std::function<void()> on_stopped;
-    time_point stop_started{};
     timer_id stop_timer = 0;
     time_point last_ping_at{};
     timer_id early_ping_timer = 0;
@@ -447,22 +446,24 @@
         this->edge.state = wire::edge_state::stopping;
         this->http.close_after_answer();
         this->ping();
-        this->stop_started = this->loop.now();
+        this->edge.stopping.emplace(this->loop.now(),
+                                    planned_stop_options{.grace = ms(this->settings.stop_timeout_ms),
+                                                         .callers_stay = ms(this->settings.lookup_ttl_ms)});
         this->stop_timer = this->loop.every(stop_check_period, [this] { this->check_stopped(); });
         this->timers.push_back(this->stop_timer);
     }
 
     // Cached lookup answers still send callers here until they expire.
     void check_stopped() {
-        duration elapsed = this->loop.now() - this->stop_started;
-        bool cached_answers_expired = elapsed >= ms(this->settings.lookup_ttl_ms);
+        time_point now = this->loop.now();
+        const planned_stop& stopping = *this->edge.stopping;
         bool idle = this->edge.running_requests == 0 && this->http.open_exchanges() == 0 && this->ledger.idle();
-        bool late = elapsed >= ms(this->settings.stop_timeout_ms);
-        if (cached_answers_expired) {
+        if (stopping.closes_idle(now)) {
             this->http.close_listener();
         }
-        if ((cached_answers_expired && idle) || late) {
-            log_event("stopping", field("idle", idle), field("took_ms", elapsed.count()));
+        std::size_t open = idle ? 0 : std::max<std::size_t>(1, this->http.open_exchanges());
+        if (stopping.is_over(now, open, 0)) {
+            log_event("stopping", field("idle", idle), field("took_ms", stopping.age(now).count()));
             this->loop.cancel(this->stop_timer);
             this->on_stopped();
         }
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -85,6 +85,12 @@
                              "the body exceeds " + std::to_string(order.service->max_request_bytes) + " bytes"});
     }
     order.deadline = this->edge.loop.now() + read_deadline(request);
+    if (this->edge.stopping && !this->edge.stopping->can_end(order.deadline)) {
+        // An earlier send of a key may have run through another edge.
+        bool has_key = request.header("idempotency-key").has_value();
+        throw refused_error({wire::refusal_reason::stopping, has_key ? wire::outcome::unknown : wire::outcome::not_run,
+                             "this edge stops before the deadline of the request: look up again"});
+    }
     request.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
     order.fingerprint =
         content_fingerprint(request.method + " " + request.path + "?" + request.query + "\n", request.body);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,10 +17,10 @@
 #include "persimmongrade/connect_probe.h"
 #include "persimmongrade/event_log.h"
 #include "persimmongrade/gateway_list.h"
+#include "persimmongrade/planned_stop.h"
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/retry_budget.h"
 #include "persimmongrade/target_limits.h"
-#include "planned_stop.h"
 #include "route_table.h"
 #include "target_client.h"
 
@@ -53,6 +53,7 @@
 constexpr double ms_per_second = 1000;
 constexpr double min_limited_rate = 0.5;      // requests per second; their answers tell when a target's limit has ended
 constexpr double spare_limited_requests = 4;  // at once, beyond twice the rate, whatever limit a target names
+constexpr duration client_departure_time = ms(2500);  // until clients have queried the directory again
 constexpr duration stop_check_interval = ms(50);
 constexpr duration elsewhere_retry_after = ms(20);     // another gateway can serve the request at once
 constexpr std::size_t descriptors_per_connection = 3;  // one of the client, and its share of connections to targets
@@ -1009,7 +1010,8 @@
     if (entry.stopping) {
         return;
     }
-    entry.stopping.emplace(entry.loop.now(), ms(entry.settings.stop_timeout_ms));
+    entry.stopping.emplace(entry.loop.now(), planned_stop_options{.grace = ms(entry.settings.stop_timeout_ms),
+                                                                  .callers_stay = client_departure_time});
     log_event("stopping", field("open_requests", entry.requests.size()),
               field("open_connections", entry.front.open_connections()));
     entry.control.set_serving(false);
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -1,6 +1,7 @@
 // Guards the request path of edges: whole answers of the right request only, drains, expired leases, retries,
 // at-most-once execution and the planned stop.
 
+#include "../support/raw_connection.h"
 #include "edge_fixture.h"
 #include "persimmongrade/uuid.h"
 
@@ -276,6 +277,43 @@
     edge.wait_until([&] { return held->closed(); }, ms(300));
 }
 
+// Reported by operators of similar systems: requests that came late in the grace were cut at its end without an answer.
+TEST_CASE("an edge that stops takes no request that cannot end in its grace time") {
+    edge_fixture edge({"north", "central"});
+    ip_address address = test_address(next_port());
+    std::vector<std::shared_ptr<http_exchange>> held;
+    http_server target(edge.loop, address, {},
+                       [&](const http_request&, const auto& exchange) { held.push_back(exchange); });
+    edge.announce("t1", "lookups", address);
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.push_back(std::make_unique<raw_connection>(edge.http_address()));
+    }
+    auto ask = [&](std::size_t caller, const std::string& deadline_ms) {
+        callers[caller]->send("GET /s/lookups/a HTTP/1.1\r\nHost: x\r\nPersimmon-Deadline-Ms: " + deadline_ms +
+                              "\r\n\r\n");
+        edge.loop.run_for(ms(50));
+        callers[caller]->receive();
+    };
+    ask(0, "2500");
+    REQUIRE(held.size() == 1);
+    edge.edges[0]->stop([] {});
+    edge.loop.run_for(ms(1500));  // of 3000
+    ask(1, "500");
+    CHECK(held.size() == 2);
+    ask(2, "2000");
+    CHECK(held.size() == 2);
+    CHECK(is_error(callers[2]->received, 503, "stopping"));
+    for (const auto& exchange : held) {
+        exchange->respond({200, {}, "whole"});
+    }
+    edge.loop.run_for(ms(100));
+    for (std::size_t caller : {0, 1}) {
+        callers[caller]->receive();
+        CHECK(callers[caller]->received.find("whole") != std::string::npos);
+    }
+}
+
 // Guards R7: a planned stop answers what is in flight, and new callers are sent elsewhere first.
 TEST_CASE("a planned stop leaves the lookups, finishes its requests and calls back") {
     edge_fixture edge({"north", "central"});
