A gateway that reaches no control process names no gateways

Cause: found on reading. With one source instead of votes, a gateway that was cut off kept its last list, with gateways that had ended. Change: the list is dropped while no control process answers, and comes back with the first answer.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -14,7 +14,7 @@
 
 constexpr duration near_ping_interval = ms(300);
 constexpr duration far_ping_interval = ms(2400);    // to control processes that others are nearer to
-constexpr duration initial_ping_interval = ms(60);  // until items are received: requests cannot be served before
+constexpr duration initial_ping_interval = ms(60);  // until a control process answers, which then sends items
 constexpr duration source_timeout = ms(500);        // two missed answers: changes must be in force within 2 s
 constexpr duration max_answer_age = ms(700);        // of a control process that becomes the source
 constexpr duration max_source_lag = ms(900);        // several hundred items are transferred faster over 5 Mbit/s
@@ -226,6 +226,9 @@
 void control_link::ping_peers(ping_scope scope) {
     time_point now = this->loop.now();
     this->select_source(now);
+    if (this->reachable_count(now) == 0) {
+        this->known_gateways.clear();  // clients then ask another process, which is told of gateways that have ended
+    }
     bool all_near = this->must_ping_all_often(now);
     std::vector<std::string> departed;
     for (auto& [address, peer] : this->control_peers) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -59,7 +59,7 @@
     // Largest count that a control process reported within gateway_count_hold; at least 1.
     unsigned gateways_in_region() const noexcept { return this->counted_gateways; }
     std::size_t reachable_count(time_point now) const;  // control processes that answered the last pings
-    // Gateways that take clients, in all regions, according to the source.
+    // Gateways that take clients, in all regions, according to the source. None while no control process answers.
     const gateways_by_address& gateways() const noexcept { return this->known_gateways; }
 
 private:
--- a/tests/fleet/test_fleet_size.cpp
+++ b/tests/fleet/test_fleet_size.cpp
@@ -246,6 +246,21 @@
     CHECK(system.run_until(all_forget, ms(5000)) < ms(2500));
 }
 
+TEST_CASE("a gateway that is cut off from all control processes names no gateways, and again those that run") {
+    regions_fixture system(4);
+    stub_gateway& gateway = *system.gateways[0];
+    REQUIRE(gateway.link.gateways().size() == 4);
+    for (auto& control : system.control) {
+        control.reset();
+    }
+    CHECK(system.run_until([&] { return gateway.link.gateways().empty(); }, ms(5000)) < ms(2000));
+    system.gateways.pop_back();
+    for (std::size_t i = 0; i < three_regions.size(); ++i) {
+        system.start_control(i);
+    }
+    CHECK(system.run_until([&] { return gateway.link.gateways().size() == 3; }, ms(8000)) < ms(4000));
+}
+
 // Two thirds of all heartbeats crossed regions.
 TEST_CASE("targets are sent to a control process of their region while one answers") {
     regions_fixture system(3);
