--- a/include/persimmongrade/listener.h
+++ b/include/persimmongrade/listener.h
@@ -15,7 +15,7 @@
 // Turns off Nagle's algorithm: messages are small and latency matters.
 void set_no_delay(h2o_socket_t* socket);
 
-// The kernel takes megabytes for a slow peer otherwise, and a sender that looks at its own queue believes them
+// Otherwise the kernel buffers megabytes for a slow peer, and the own queue looks empty although nothing was
 // delivered.
 void keep_unsent_bytes_in_process(h2o_socket_t* socket);
 
--- a/include/persimmongrade/report_stream.h
+++ b/include/persimmongrade/report_stream.h
@@ -1,6 +1,6 @@
 // Numbers the messages with reports of targets to one receiver, and decides when everything is sent again. Free of I/O.
 //
-//     message.number = stream.next(now);
+//     message.number = stream.next();
 //     if (stream.must_resend(now, ping.reports_number, peers.queued_bytes(id))) { send everything }
 //
 // The receiver states the last number that came without a gap. A number that stays behind means a lost message, unless
