review: case 4, a restarted core process acknowledges a departure that is lost

Cause: the process doesn't know the server after its restart, stores the departure with start time 0, and all others ignore it as older than what they hold.

--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -441,6 +441,16 @@
         this->start("front", i, "persimmongrade-gateway", own, 390);
     }
 
+    // Of the core machine at its control address.
+    std::string name_at(const address& at) const {
+        for (std::size_t i = 0; i < this->options.cores; ++i) {
+            if (this->core(i) == at) {
+                return name_of("core", i);
+            }
+        }
+        return at.text();
+    }
+
     static std::string name_of(const std::string& kind, std::size_t i) { return kind + "-" + std::to_string(i); }
 
     void signal(const std::string& name, int number) {
@@ -726,15 +736,13 @@
         this->pings = false;
         this->answers_leaving = true;
         for (std::size_t tries = 0; tries < 2 * this->system.options.cores; ++tries) {
-            std::string node = this->ping_target().text();
-            std::size_t number = this->core;
-            if (this->tell("DELETE", "")) {
-                this->system.record.note("server " + this->id() + ": DELETE acknowledged by core-" +
-                                         std::to_string(number));
+            std::string node = this->system.name_at(this->ping_target());
+            bool acknowledged = this->tell("DELETE", "");
+            this->system.record.note("server " + this->id() + ": DELETE " + (acknowledged ? "" : "not ") +
+                                     "acknowledged by " + node);
+            if (acknowledged) {
                 return node;
             }
-            this->system.record.note("server " + this->id() + ": DELETE not acknowledged by core-" +
-                                     std::to_string(number));
             sleep_ms(100);
         }
         return {};
