--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -896,14 +896,15 @@
     std::string service;
     int timeout_ms = 1500;
     int version = 1;
+    std::string allowed_regions;  // quoted names, separated by commas; empty: all
 };
 
 inline std::string route_json(const route_text& route) {
     return "\"" + route.name + "\":{\"host\":\"a.example\",\"path-prefix\":\"" + route.prefix + "\",\"route-type\":\"" +
            route.kind + "\",\"timeout-ms\":" + std::to_string(route.timeout_ms) +
            ",\"target-latency-ms\":200,\"priority\":1,\"service\":\"" + route.service +
-           "\",\"max-attempts\":2,\"sticky\":false,\"allowed-regions\":[],\"version\":\"r" +
-           std::to_string(route.version) + "\"}";
+           "\",\"max-attempts\":2,\"sticky\":false,\"allowed-regions\":[" + route.allowed_regions +
+           "],\"version\":\"r" + std::to_string(route.version) + "\"}";
 }
 
 inline std::string service_json(const std::string& name, int version) {
