--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With TROUBLE=0 the byte is a letter.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the kill out.
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-[ -x target/review/malformed_ping ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/review/malformed_ping "$here/record.txt"
+[ -x target/review/older_manifest ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec target/review/older_manifest "$here/record.txt"
--- a/review/5/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-[ -x target/review/older_manifest ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/review/older_manifest "$here/record.txt"
+[ -x target/review/departure ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec target/review/departure "$here/record.txt"
--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -371,11 +371,11 @@
 public:
     explicit deployment(event_record& record, const deployment_options& options = {})
         : record(record), options(options) {
-        std::array<char, 64> name{"/tmp/persimmongrade-review-XXXXXX"};
+        std::string name = (std::filesystem::temp_directory_path() / "persimmongrade-review-XXXXXX").string();
         if (::mkdtemp(name.data()) == nullptr) {
             throw std::runtime_error("no temporary folder");
         }
-        this->directory = name.data();
+        this->directory = name;
         this->choose_addresses();
     }
 
