A voter that was replaced while it was away asks to join again

Cause: the leader cannot tell a voter that is gone from one that is cut off, and replaced the latter. Nobody told it: leaders send to members only, and its own log still named it, so that it never asked to join. The dead voter stayed in the set, and two more lost disks ended the quorum for good. The order in which the silent voter was chosen was that of the list.

Change: a member that has known no leader for 1.5 s sends join requests. The leader takes it back in place of the voter that has been silent for longest. Any message counts as a sign of life. A voter that is being replaced stays connected until it is removed, unless its replacement has its address.

--- a/include/persimmongrade/member_links.h
+++ b/include/persimmongrade/member_links.h
@@ -18,8 +18,8 @@
 
 using member_addresses = std::map<std::string, std::string>;  // peer address by member id
 
-// Members of the voter set except `own_id` and except members that are being replaced. A replacement may have the
-// same peer address, and messages to the replaced member would then reach the replacement.
+// Members of the voter set except `own_id` and except those whose replacement has the same peer address, which would
+// receive their messages. Any other member that is being replaced counts, and may come back, until it is removed.
 inline member_addresses other_members(const wire::voter_set_t& set, const std::string& own_id) {
     member_addresses others;
     for (const auto& voter : set.voters) {
@@ -28,7 +28,10 @@
         }
     }
     for (const auto& voter : set.voters) {
-        others.erase(voter->replaces);
+        auto replaced = others.find(voter->replaces);
+        if (replaced != others.end() && replaced->second == voter->address) {
+            others.erase(replaced);
+        }
     }
     return others;
 }
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -30,7 +30,8 @@
 // A snapshot of a few hundred items loads faster than the log entries that it replaces.
 constexpr std::size_t snapshot_entry_threshold = 500;
 constexpr duration join_interval = ms(300);
-constexpr duration lost_voter_timeout = ms(1500);  // after this silence, a joining process may replace the voter
+constexpr duration lost_voter_timeout = ms(1500);     // after this silence, a joining process may replace the voter
+constexpr duration leaderless_join_delay = ms(1500);  // longer than an election
 constexpr duration timeout_check_interval = ms(100);
 constexpr duration report_batch_interval = ms(25);      // batches the reports of targets that start together
 constexpr duration gateway_ping_timeout = ms(1200);     // four missed pings
@@ -115,7 +116,8 @@
     gateway_list serving_gateways;                       // of all control processes
     std::uint64_t logged_gateways_version = 0;
     std::map<std::string, time_point>
-        member_heard_at;  // last message of each member; cleared at the start of a term as leader
+        member_heard_at;         // last message of each member; cleared at the start of a term as leader
+    time_point has_leader_at{};  // last time that a leader was known
     bool is_stopping = false;
     bool had_leader = false;
     prometheus::Counter& commands_accepted;
@@ -151,6 +153,7 @@
         for (const std::string& seed : this->settings.seeds) {
             this->join_candidates.insert(with_port(seed, this->peer_port));
         }
+        this->has_leader_at = loop.now();
         this->log.start();
         this->timers.every(consensus_tick_interval, [this] { this->tick(); });
         this->timers.every(join_interval, [this] { this->send_join_requests(); });
@@ -208,6 +211,9 @@
     void tick() {
         this->log.tick(this->loop.now());
         bool has_leader = !this->log.leader_id().empty();
+        if (has_leader) {
+            this->has_leader_at = this->loop.now();
+        }
         if (has_leader != this->had_leader) {
             this->had_leader = has_leader;
             log_event(has_leader ? "leader_known" : "leader_lost", field("leader", this->log.leader_id()),
@@ -250,8 +256,14 @@
 
     static std::string join_peer_id(const std::string& address) { return "ask " + address; }
 
+    // A member may have been replaced while it was away. Its own log still names it then, and nobody tells it: the
+    // leader sends only to members.
+    bool may_be_member() const {
+        return this->log.is_member() && this->loop.now() - this->has_leader_at <= leaderless_join_delay;
+    }
+
     void send_join_requests() {
-        if (this->log.is_member() || this->is_stopping || this->log.failed()) {
+        if (this->may_be_member() || this->is_stopping || this->log.failed()) {
             for (const std::string& address : this->join_candidates) {
                 this->peers.remove_peer(join_peer_id(address));
             }
@@ -269,6 +281,16 @@
         }
     }
 
+    // Last message of the voter, to the log or to this process. A voter not heard since this process became the leader
+    // counts as heard at its first question.
+    time_point voter_heard_at(const std::string& id) {
+        time_point heard = this->member_heard_at.try_emplace(id, this->loop.now()).first->second;
+        auto session = this->member_sessions.find(id);
+        return session == this->member_sessions.end() ? heard : std::max(heard, session->second.last_ping_at);
+    }
+
+    // The voter that has been silent for longest, which need not be the one that is gone: one that comes back asks to
+    // join again, and then takes the place of the next one.
     void handle_join_request(const std::string& from, const wire::join_request_t& request) {
         wire::join_reply_t reply;
         reply.members = this->peer_addresses();
@@ -283,6 +305,7 @@
         std::size_t voter_count = 0;
         std::string lost_voter;
         time_point now = this->loop.now();
+        time_point lost_since = now - lost_voter_timeout;
         for (const auto& voter : this->log.voters().voters) {
             if (voter->id == request.id) {
                 return;
@@ -291,9 +314,10 @@
             if (voter->address == request.address) {
                 change.member.replaces = voter->id;
             }
-            time_point heard = this->member_heard_at.try_emplace(voter->id, now).first->second;
-            if (voter->id != this->log.id() && now - heard > lost_voter_timeout) {
+            time_point heard = this->voter_heard_at(voter->id);
+            if (voter->id != this->log.id() && heard < lost_since) {
                 lost_voter = voter->id;
+                lost_since = heard;
             }
         }
         if (change.member.replaces.empty() && voter_count >= 2 * this->settings.lost_disks + 1) {
--- a/tests/fleet/fleet_fixture.h
+++ b/tests/fleet/fleet_fixture.h
@@ -51,6 +51,19 @@
     return report;
 }
 
+// Declares the service `name`; the version is also the digest of the call.
+inline wire::item_batch_t service_batch(const std::string& name, std::uint64_t version) {
+    wire::item_batch_t batch;
+    batch.digest = version;
+    auto item = std::make_unique<wire::item_t>();
+    item->kind = wire::item_kind::service;
+    item->name = name;
+    item->version = version;
+    item->service = std::make_unique<wire::service_rule_t>();
+    batch.items.push_back(std::move(item));
+    return batch;
+}
+
 // Value of a counter for one message type, for example of "persimmongrade_peer_received_bytes_total".
 inline double message_counter(const metric_registry& metrics, const std::string& name, const std::string& message) {
     std::string text = metrics.text();
@@ -97,6 +110,7 @@
 struct fleet_fixture_options {
     std::vector<std::string> control_regions{"north", "north", "north"};
     duration target_heartbeat = heartbeat;
+    std::uint32_t lost_disks = 1;  // at once, that the deployment bears
 };
 
 class fleet_fixture {
@@ -119,22 +133,47 @@
     fleet_fixture(const fleet_fixture&) = delete;
     fleet_fixture& operator=(const fleet_fixture&) = delete;
 
-    void start_control(std::size_t i) {
+    // A control process with an empty disk beyond those of the first start. Returns its number.
+    std::size_t add_control() {
+        this->metrics.emplace_back();
+        this->control.emplace_back();
+        this->start_control(this->control.size() - 1, false);
+        return this->control.size() - 1;
+    }
+
+    // Stops the process and removes what it has stored.
+    void lose_disk(std::size_t i) {
+        this->control[i].reset();
+        std::filesystem::remove_all(this->directory + "/control-" + std::to_string(i));
+    }
+
+    void start_control(std::size_t i, bool bootstrap = true) {
         wire::fleet_settings_t settings;
         settings.cluster = "test";
         settings.node = "control-" + std::to_string(i);
-        settings.region = this->options.control_regions[i];
+        settings.region = this->options.control_regions[i % this->options.control_regions.size()];
         settings.zone = settings.region + "-1";
         settings.peer_address = host_address(i, 7100);
         settings.control_http_address = host_address(i, 7200);
         settings.heartbeat_ms = static_cast<std::uint32_t>(this->options.target_heartbeat.count());
-        settings.bootstrap = true;
+        settings.bootstrap = bootstrap;
+        settings.lost_disks = this->options.lost_disks;
         settings.data_directory = this->directory + "/" + settings.node;
         settings.seeds = control_addresses(this->options.control_regions.size());
         this->metrics[i] = std::make_unique<metric_registry>();
         this->control[i] = std::make_unique<fleet_control>(this->loop, settings, *this->metrics[i]);
     }
 
+    // The control process that can accept operator commands; null when there is none.
+    fleet_control* leader() const {
+        for (const auto& process : this->control) {
+            if (process && process->read_status().status == command_status::accepted) {
+                return process.get();
+            }
+        }
+        return nullptr;
+    }
+
     // Runs until the condition holds, at most for `limit`. Returns how long it took.
     template <typename Condition>
     duration run_until(Condition condition, duration limit) {
