Gateways get items only of control processes that know what is committed

Change: the consensus core tells whether it has committed all that its present leader had committed when it last sent, where the leader has committed an entry of its own term. Until then a control process sends no items, and says in its answers to gateways that it has no leader. A gateway without items changes its source at once when another one has a leader.

--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -183,7 +183,11 @@
     bool is_leader() const { return this->role == role_kind::leader; }
     bool has_leader_lease(time_point now) const;  // no other process holds a leader lease at `now`
     bool can_serve_reads(time_point now) const;   // lease held, and all earlier commits known and applied
-    bool is_voter() const;                        // in the newest voter set known to this member
+    // Whether everything that was committed before the present leader was elected, and since until its last message, is
+    // committed here. A process that has just started knows only its last snapshot, although later entries are on its
+    // disk.
+    bool knows_all_commits() const;
+    bool is_voter() const;                                         // in the newest voter set known to this member
     const std::string& leader_id() const { return this->leader; }  // empty: unknown
     std::uint64_t term() const { return this->hard.term; }
     std::uint64_t commit_index() const { return this->committed_index; }
@@ -310,6 +314,7 @@
 
     role_kind role = role_kind::follower;
     std::string leader;
+    bool caught_up = false;          // follower: with what `leader` had committed when it sent a request
     time_point last_leader_contact;  // votes are refused for one election timeout after this
     time_point election_deadline;
     std::set<std::string> votes;
--- a/src/consensus/consensus_election.cpp
+++ b/src/consensus/consensus_election.cpp
@@ -35,6 +35,7 @@
     }
     this->role = role_kind::follower;
     this->leader = leader;
+    this->caught_up = false;
     this->votes.clear();
     this->peers.clear();
     this->transfer_target.clear();
--- a/src/consensus/consensus_leader.cpp
+++ b/src/consensus/consensus_leader.cpp
@@ -265,6 +265,10 @@
     return this->term_at(this->committed_index) == this->hard.term;
 }
 
+bool consensus::knows_all_commits() const {
+    return this->role == role_kind::leader ? this->has_committed_in_term() : this->caught_up;
+}
+
 bool consensus::can_serve_reads(time_point now) const {
     return this->has_leader_lease(now) && this->has_committed_in_term();
 }
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -576,7 +576,7 @@
         pong.address = this->settings.peer_address;
         pong.region = this->settings.region;
         pong.members = this->peer_addresses();
-        pong.has_leader = !this->log.leader_id().empty();
+        pong.has_leader = this->log.knows_all_commits();
         pong.region_gateways = static_cast<std::uint32_t>(
             std::count_if(this->gateway_sessions.begin(), this->gateway_sessions.end(),
                           [&](const auto& entry) { return entry.second.last_ping.region == ping.region; }));
@@ -601,8 +601,10 @@
                this->settings.memory_mb * bytes_per_mb / 4 / std::max<std::size_t>(1, receivers);
     }
 
+    // After a start, the items are those of a snapshot, until a leader tells what was committed later.
     void send_items(const std::string& id, gateway_session& session) {
-        bool is_due = session.last_ping.wants_items && session.sent_items_index < this->items.applied();
+        bool is_due = session.last_ping.wants_items && session.sent_items_index < this->items.applied() &&
+                      this->log.knows_all_commits();
         if (!is_due || !this->has_room(id)) {
             return;
         }
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -118,7 +118,8 @@
     } else if (this->source_behind_since == time_point{}) {
         this->source_behind_since = now;
     }
-    return is_passed && now - this->source_behind_since > max_source_lag;
+    // Without items, this gateway refuses every request.
+    return is_passed && (this->items.empty() || now - this->source_behind_since > max_source_lag);
 }
 
 bool control_link::is_better_source(const control_peer& other, const control_peer& chosen) const {
