Departures of targets are acknowledged once the log has committed them

A process acknowledged a departure alone, as soon as it knew the id of a leader. Nothing showed that anybody else had learned of it, or could use it: the id of the leader outlives a cut by up to two election timeouts, and a process that had just started stored departures that name no start with a start of 0, which all others ignore as outdated. Nothing kept departures over a restart of all.

Change: the process that is told asks the leader, which finds the start of the target, commits the departure in the log, and answers then; departures that arrive meanwhile share the next entry (departure_queue.h).

--- a/include/persimmongrade/fleet_control.h
+++ b/include/persimmongrade/fleet_control.h
@@ -12,6 +12,9 @@
 // Reports and the list of gateways travel between the control processes, and from each to the gateways that chose it as
 // their source, one in their own region while there is one. Gateways ping the others seldom.
 //
+// The departure of a target is acknowledged once it is committed in the log, as gateways must follow it from then on,
+// whatever happens to the process that was told. Gateways get it like items, besides the report itself.
+//
 // It also passes on news that gateways learn from targets, quarantine notices and limits: each gateway sends its own to
 // every control process, and gets those of the others from the one that sends it items.
 //
@@ -64,9 +67,12 @@
     command_result read_status() const;  // `accepted` when items() holds every acknowledged change
     const item_store& items() const noexcept;
 
-    // Target reports. A report of phase `gone` needs only the target's id. Returns false when a target that leaves
-    // cannot be recorded because no leader is known: it must then report to another process.
-    bool report(wire::target_report_t report);
+    // Target reports. A report of phase `gone` needs only the target's id. The callback runs once, at the latest after
+    // departure_timeout unless the process ends. It gets false when the departure of a target cannot be recorded,
+    // because there is no leader or nobody knows the target: the target must then report to another process.
+    using report_callback = std::function<void(bool accepted)>;
+    void report(
+        wire::target_report_t report, const report_callback& callback = [](bool) {});
     // HTTP address of a control process in the target's region, for its later reports. Empty: this process is as near,
     // or none there answers.
     std::string reporting_address(const std::string& region, const std::string& target) const;
--- a/include/persimmongrade/item_store.h
+++ b/include/persimmongrade/item_store.h
@@ -1,5 +1,6 @@
-// Store of the configuration items that operators declare: routes, services and the limits for clients. Control
-// processes use it for the state that is applied from the replicated log, gateways for their copy of that state.
+// Store of the configuration items that operators declare: routes, services and the limits for clients; and of the
+// evacuations and departures that bind gateways. Control processes use it for the state that is applied from the
+// replicated log, gateways for their copy of that state.
 //
 //     item_store store;
 //     if (auto reason = store.problem(batch)) { refuse(*reason); }
@@ -30,6 +31,8 @@
 using item_key = std::pair<wire::item_kind, std::string>;
 
 inline constexpr std::size_t max_accepted_calls = 4096;  // kept digests; older calls are no longer resent
+// Kept departures: more than leave within a minute, and small enough for a slow link to a gateway that starts.
+inline constexpr std::size_t max_departures = 512;
 
 class item_store {
 public:
@@ -40,6 +43,7 @@
     bool was_accepted(std::uint64_t digest) const;  // the same call has been applied; a resend must not be refused
     void apply(const wire::item_batch_t& batch, std::uint64_t index);
     void apply(const wire::zone_evacuation_t& evacuation, std::uint64_t index);
+    void apply(const wire::target_departure_t& departure, std::uint64_t index);
     std::vector<std::uint8_t> snapshot() const;
     void load(const std::vector<std::uint8_t>& bytes);  // replaces the state; empty: the state before the first entry
 
@@ -60,13 +64,17 @@
     const wire::item_t* find(wire::item_kind kind, const std::string& name) const;  // null when there is none
     bool evacuated(const std::string& zone) const;
     std::set<std::string> evacuated_zones() const;
+    const wire::target_departure_t* find_departure(const std::string& target) const;  // null when there is none
+    void each_departure(const std::function<void(const wire::target_departure_t&)>& visit) const;
 
 private:
     bool put(const wire::item_t& item, std::uint64_t index);
     void record_accepted(std::uint64_t digest, std::uint64_t index);
+    void put(const wire::target_departure_t& departure);
 
     std::map<item_key, wire::item_t> items;
     std::map<std::string, wire::zone_evacuation_t> evacuations;  // by zone
+    std::map<std::string, wire::target_departure_t> departures;  // by target
     std::map<std::uint64_t, std::uint64_t> accepted;             // log index by digest of the call
     std::uint64_t last_index = 0;
 };
--- a/include/persimmongrade/target_registry.h
+++ b/include/persimmongrade/target_registry.h
@@ -41,6 +41,7 @@
     };
 
     report_effect merge(const wire::target_report_t& report, time_point now);
+    report_effect merge(const wire::target_departure_t& departure, time_point now);
     // Removes targets that are not usable and whose last report is older than any report can be delayed. Returns their
     // ids.
     std::vector<std::string> expire(time_point now);
--- /dev/null
+++ b/src/fleet/departure_queue.h
@@ -0,0 +1,83 @@
+// Departures of targets that wait to be stored by a majority of the control processes, and are acknowledged then. Free
+// of I/O. The process that a target called asks the leader (departure_requests); the leader collects what it is asked,
+// and proposes one entry of the log after the other (departure_batches). Many targets that leave together share an
+// entry.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet_generated.h"
+#include "persimmongrade/clock.h"
+
+namespace persimmongrade {
+
+// Targets call another control process after a second without an answer.
+inline constexpr duration departure_timeout = ms(800);
+
+// Departures that this process has been told of.
+//
+//     requests.add(now, report, known_start_ms, [](bool recorded) { ... });
+//     requests.refuse_overdue(now, leader);
+//     for (auto& request : requests.unsent(leader)) { send it to `leader` }
+//     requests.answer(number, recorded);    // the leader's answer
+class departure_requests {
+public:
+    using answer_function = std::function<void(bool recorded)>;
+
+    // `known_start_ms` is the start of the target as known here, 0 when it is not known.
+    void add(time_point now, const wire::target_report_t& report, std::int64_t known_start_ms, answer_function answer);
+    // Requests that `leader` has not been sent, for example because it has just been elected. They count as sent.
+    std::vector<wire::departure_request_t> unsent(const std::string& leader);
+    void answer(std::uint64_t number, bool recorded);
+    // Without a leader nothing can be recorded: `leader` is empty then, and all are refused at once.
+    void refuse_overdue(time_point now, const std::string& leader);
+
+private:
+    struct waiting_request {
+        wire::departure_request_t request;
+        time_point received_at{};
+        std::string sent_to;
+        answer_function answer;
+    };
+
+    std::vector<waiting_request> waiting;
+    std::uint64_t last_number = 0;
+};
+
+// Departures that the leader has been asked to record.
+class departure_batches {
+public:
+    struct asker {
+        std::string id;  // of the control process
+        std::uint64_t number = 0;
+        bool operator==(const asker&) const = default;
+    };
+
+    void add(const asker& from, wire::target_departure_t departure);
+    // What the next entry holds; empty while an entry is in flight or nothing waits.
+    std::vector<wire::target_departure_t> next() const;
+    void proposed(std::uint64_t index, std::uint64_t term);
+    // A committed entry of the log. Returns who asked for what it has recorded.
+    std::vector<asker> committed(std::uint64_t index, std::uint64_t term);
+    // This process is no longer the leader. Returns everyone who waits: whether the entry in flight is committed is not
+    // known.
+    std::vector<asker> abandon();
+
+private:
+    struct waiting_departure {
+        asker from;
+        wire::target_departure_t departure;
+        bool in_flight = false;
+    };
+
+    std::vector<waiting_departure> waiting;
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> in_flight;  // index and term
+};
+
+}  // namespace persimmongrade
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <utility>
 
+#include "departure_queue.h"
 #include "persimmongrade/address.h"
 #include "persimmongrade/consensus_driver.h"
 #include "persimmongrade/event_log.h"
@@ -100,6 +101,8 @@
     std::uint16_t http_port;
     item_store items;
     target_registry targets;
+    departure_requests departures_asked;
+    departure_batches departures_to_record;  // as the leader
     quarantine crashes;
     target_limits limits;
     consensus_driver<impl> log;
@@ -219,6 +222,8 @@
             log_event(has_leader ? "leader_known" : "leader_lost", field("leader", this->log.leader_id()),
                       field("term", this->log.term()));
         }
+        this->departures_asked.refuse_overdue(this->loop.now(), this->log.leader_id());
+        this->send_departure_requests();
         while (!this->pending_commands.empty() &&
                this->loop.now() - this->pending_commands.front().received_at > command_timeout) {
             this->finish_front_command({command_status::unavailable, "the log did not commit the command in time", {}});
@@ -352,6 +357,10 @@
             if (this->limits.merge(*limit, this->loop.now())) {
                 this->forward(envelope.from, *limit);
             }
+        } else if (const auto* request = envelope.body.Asdeparture_request()) {
+            this->on_departure_request(envelope.from, *request);
+        } else if (const auto* reply = envelope.body.Asdeparture_reply()) {
+            this->departures_asked.answer(reply->number, reply->recorded);
         } else if (const auto* request = envelope.body.Asjoin_request()) {
             this->handle_join_request(envelope.from, *request);
         } else if (const auto* reply = envelope.body.Asjoin_reply()) {
@@ -445,7 +454,12 @@
             if (command->evacuation) {
                 this->items.apply(*command->evacuation, entry.index);
             }
+            for (const auto& departure : command->departures) {
+                this->items.apply(*departure, entry.index);
+                this->merge_departure(*departure);
+            }
         }
+        this->answer_departures(this->departures_to_record.committed(entry.index, entry.term), true);
         if (!this->proposed_entry || entry.index < this->proposed_entry->first) {
             return;
         }
@@ -462,13 +476,17 @@
         for (auto& [id, session] : this->gateway_sessions) {
             this->send_items(id, session);
         }
-        if (!this->proposed_entry) {
-            this->loop.cancel(this->propose_timer);
-            this->propose_timer = this->loop.after(duration::zero(), [this] { this->propose_next(); });
-        }
+        this->loop.cancel(this->propose_timer);
+        this->propose_timer = this->loop.after(duration::zero(), [this] {
+            this->propose_next();
+            this->propose_departures();
+        });
     }
 
-    void install_state(const byte_string& bytes) { this->items.load(bytes); }
+    void install_state(const byte_string& bytes) {
+        this->items.load(bytes);
+        this->items.each_departure([this](const auto& departure) { this->merge_departure(departure); });
+    }
     byte_string save_state() const { return this->items.snapshot(); }
 
     void leadership_changed(leadership_change change) {
@@ -480,11 +498,85 @@
             return;
         }
         this->proposed_entry.reset();
+        this->answer_departures(this->departures_to_record.abandon(), false);
         while (!this->pending_commands.empty()) {
             this->finish_front_command({command_status::unavailable, "this process is no longer the leader", {}});
         }
     }
 
+    // ---- Departures ----
+
+    void send_departure_requests() {
+        std::string leader = this->log.leader_id();
+        for (auto& request : this->departures_asked.unsent(leader)) {
+            if (leader == this->log.id()) {
+                this->on_departure_request(leader, request);
+            } else {
+                this->peers.send(leader, std::move(request));
+            }
+        }
+    }
+
+    void answer_departures(const std::vector<departure_batches::asker>& askers, bool recorded) {
+        for (const auto& [id, number] : askers) {
+            if (id == this->log.id()) {
+                this->departures_asked.answer(number, recorded);
+            } else {
+                wire::departure_reply_t reply;
+                reply.number = number;
+                reply.recorded = recorded;
+                this->peers.send(id, std::move(reply));
+            }
+        }
+    }
+
+    // A departure that names no start is that of the newest start that is known, here or to the process that asks.
+    void on_departure_request(const std::string& from, const wire::departure_request_t& request) {
+        wire::target_departure_t departure;
+        departure.id = request.target;
+        departure.phase = request.phase;
+        departure.started_at_ms = request.started_at_ms;
+        const wire::target_departure_t* recorded = this->items.find_departure(request.target);
+        if (departure.started_at_ms == 0) {
+            departure.started_at_ms = std::max({request.known_start_ms, this->known_start_ms(request.target),
+                                                recorded == nullptr ? 0 : recorded->started_at_ms});
+        }
+        departure_batches::asker asker{from, request.number};
+        bool can_record = this->log.is_leader() && !this->is_stopping && departure.started_at_ms != 0;
+        bool is_recorded = recorded != nullptr && recorded->started_at_ms >= departure.started_at_ms;
+        if (!can_record || is_recorded) {
+            this->answer_departures({asker}, can_record && is_recorded);
+            return;
+        }
+        this->departures_to_record.add(asker, std::move(departure));
+        this->propose_departures();
+    }
+
+    void propose_departures() {
+        std::vector<wire::target_departure_t> next = this->departures_to_record.next();
+        if (next.empty()) {
+            return;
+        }
+        wire::fleet_command_t command;
+        for (const auto& departure : next) {
+            command.departures.push_back(std::make_unique<wire::target_departure_t>(departure));
+        }
+        try {
+            this->log.propose(
+                this->loop.now(), {encode_command(command)},
+                [this](std::uint64_t index, std::uint64_t term) { this->departures_to_record.proposed(index, term); });
+        } catch (const error& failure) {  // leadership is being transferred
+            log_event("departures_refused", field("departures", next.size()), field("reason", failure.what()));
+            this->answer_departures(this->departures_to_record.abandon(), false);
+        }
+    }
+
+    void merge_departure(const wire::target_departure_t& departure) {
+        if (this->targets.merge(departure, this->loop.now()) == report_effect::changed) {
+            this->log_target(*this->targets.find(departure.id), "log");
+        }
+    }
+
     // ---- Other control processes ----
 
     void ping_members() {
@@ -888,10 +980,21 @@
         }
     }
 
-    bool report(wire::target_report_t report) {
-        // Without a leader, this process may be in a minority partition, and the departure would not reach every
-        // gateway: false is returned then.
+    // 0: not known.
+    std::int64_t known_start_ms(const std::string& id) const {
+        const auto* target = this->targets.find(id);
+        return target == nullptr ? 0 : target->report.started_at_ms;
+    }
+
+    void report(wire::target_report_t report, const report_callback& callback) {
         bool is_leaving = report.phase != wire::target_phase::ready;
+        if (is_leaving) {
+            this->departures_asked.add(this->loop.now(), report, this->known_start_ms(report.id),
+                                       [this, callback](bool recorded) {
+                                           (recorded ? this->reports_received : this->reports_refused).Increment();
+                                           callback(recorded);
+                                       });
+        }
         const auto* target = this->targets.find(report.id);
         if (report.started_at_ms == 0 && target != nullptr) {
             report.started_at_ms = target->report.started_at_ms;
@@ -899,6 +1002,20 @@
                 report.sequence = std::max(report.sequence, target->report.sequence + 1);
             }
         }
+        if (!is_leaving || report.started_at_ms != 0) {
+            this->record_report(std::move(report));
+        }
+        if (!is_leaving) {
+            this->reports_received.Increment();
+            callback(true);
+            return;
+        }
+        this->send_pending_reports();  // gateways need not wait for the log
+        this->departures_asked.refuse_overdue(this->loop.now(), this->log.leader_id());
+        this->send_departure_requests();
+    }
+
+    void record_report(wire::target_report_t report) {
         time_point now = this->loop.now();
         std::string id = report.id;
         report_effect effect = this->targets.merge(report, now);
@@ -911,12 +1028,6 @@
         } else if (effect == report_effect::renewed && is_first_report_here) {
             this->unsent_targets.try_emplace(id, report_scope::members);
         }
-        if (is_leaving) {
-            this->send_pending_reports();  // before the report is acknowledged
-        }
-        bool is_recorded = !is_leaving || !this->log.leader_id().empty();
-        (is_recorded ? this->reports_received : this->reports_refused).Increment();
-        return is_recorded;
     }
 };
 
@@ -957,8 +1068,8 @@
     return this->state->items;
 }
 
-bool fleet_control::report(wire::target_report_t report) {
-    return this->state->report(std::move(report));
+void fleet_control::report(wire::target_report_t report, const report_callback& callback) {
+    this->state->report(std::move(report), callback);
 }
 
 std::vector<std::string> fleet_control::gateways_for(const std::string& region, const std::string& zone) const {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -262,13 +262,7 @@
     if (const auto* pong = envelope.body.Asgateway_pong()) {
         this->on_pong(envelope.from, *pong);
     } else if (const auto* delta = envelope.body.Asitems_delta()) {
-        std::uint64_t before = this->items.applied();
-        if (this->items.merge(*delta)) {
-            log_event("items_changed", field("from", envelope.from), field("index", this->items.applied()),
-                      field("before", before), field("items", delta->items.size()),
-                      field("evacuations", delta->evacuations.size()));
-            this->on_update({true, {}});
-        }
+        this->on_items(envelope.from, *delta);
     } else if (const auto* reports = envelope.body.Astarget_reports()) {
         this->on_reports(envelope.from, *reports);
     } else if (const auto* notice = envelope.body.Asquarantine_notice()) {
@@ -395,6 +389,26 @@
     }
 }
 
+void control_link::on_items(const std::string& from, const wire::items_delta_t& delta) {
+    std::uint64_t before = this->items.applied();
+    if (!this->items.merge(delta)) {
+        return;
+    }
+    log_event("items_changed", field("from", from), field("index", this->items.applied()), field("before", before),
+              field("items", delta.items.size()), field("evacuations", delta.evacuations.size()),
+              field("departures", delta.departures.size()));
+    control_update update;
+    update.items_changed = !delta.items.empty() || !delta.evacuations.empty();
+    for (const auto& departure : delta.departures) {
+        if (this->targets.merge(*departure, this->loop.now()) != report_effect::none) {
+            update.targets.push_back(departure->id);
+        }
+    }
+    if (update.items_changed || !update.targets.empty()) {
+        this->on_update(update);
+    }
+}
+
 void control_link::on_reports(const std::string& from, const wire::target_reports_t& message) {
     if (control_peer* known = this->find_control_peer(from)) {
         if (message.full || message.number == known->reports_number + 1) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -102,6 +102,7 @@
     void count_gateways(time_point now);
     void on_pong(const std::string& from, const wire::gateway_pong_t& pong);
     void update_gateways(time_point now, const wire::gateway_pong_t& pong);
+    void on_items(const std::string& from, const wire::items_delta_t& delta);
     void on_reports(const std::string& from, const wire::target_reports_t& message);
     void add_control_peer(const std::string& address);
     control_peer* find_control_peer(const std::string& id);
--- a/src/inventory/item_store.cpp
+++ b/src/inventory/item_store.cpp
@@ -131,6 +131,28 @@
     this->last_index = std::max(this->last_index, index);
 }
 
+// The departure of the newest start is kept, and of that start the one of the later phase.
+void item_store::put(const wire::target_departure_t& departure) {
+    auto rank = [](const wire::target_departure_t& value) { return std::pair(value.started_at_ms, value.phase); };
+    auto [place, added] = this->departures.try_emplace(departure.id, departure);
+    if (!added && rank(departure) > rank(place->second)) {
+        place->second = departure;
+    }
+    if (this->departures.size() > max_departures) {
+        this->departures.erase(
+            std::min_element(this->departures.begin(), this->departures.end(), [](const auto& a, const auto& b) {
+                return std::pair(a.second.changed_at, a.first) < std::pair(b.second.changed_at, b.first);
+            }));
+    }
+}
+
+void item_store::apply(const wire::target_departure_t& departure, std::uint64_t index) {
+    wire::target_departure_t applied = departure;
+    applied.changed_at = index;
+    this->put(applied);
+    this->last_index = std::max(this->last_index, index);
+}
+
 std::vector<std::uint8_t> item_store::snapshot() const {
     wire::fleet_state_t state;
     for (const auto& [key, item] : this->items) {
@@ -145,6 +167,9 @@
         call.changed_at = index;
         state.accepted.push_back(std::make_unique<wire::accepted_call_t>(call));
     }
+    for (const auto& [id, departure] : this->departures) {
+        state.departures.push_back(std::make_unique<wire::target_departure_t>(departure));
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::fleet_state::Pack(builder, &state));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
@@ -164,6 +189,9 @@
     for (const auto& evacuation : state->evacuations) {
         this->apply(*evacuation, evacuation->changed_at);
     }
+    for (const auto& departure : state->departures) {
+        this->apply(*departure, departure->changed_at);
+    }
     for (const auto& call : state->accepted) {
         this->accepted[call->digest] = call->changed_at;
         this->last_index = std::max(this->last_index, call->changed_at);
@@ -185,6 +213,11 @@
             delta.evacuations.push_back(std::make_unique<wire::zone_evacuation_t>(evacuation));
         }
     }
+    for (const auto& [id, departure] : this->departures) {
+        if (departure.changed_at > index) {
+            delta.departures.push_back(std::make_unique<wire::target_departure_t>(departure));
+        }
+    }
     return delta;
 }
 
@@ -201,6 +234,9 @@
             held = *evacuation;
         }
     }
+    for (const auto& departure : delta.departures) {
+        this->put(*departure);
+    }
     this->last_index = delta.upto;
     return true;
 }
@@ -233,4 +269,15 @@
     return zones;
 }
 
+const wire::target_departure_t* item_store::find_departure(const std::string& target) const {
+    auto found = this->departures.find(target);
+    return found == this->departures.end() ? nullptr : &found->second;
+}
+
+void item_store::each_departure(const std::function<void(const wire::target_departure_t&)>& visit) const {
+    for (const auto& [id, departure] : this->departures) {
+        visit(departure);
+    }
+}
+
 }  // namespace persimmongrade
--- a/src/inventory/target_registry.cpp
+++ b/src/inventory/target_registry.cpp
@@ -57,6 +57,14 @@
     return changed ? report_effect::changed : report_effect::renewed;
 }
 
+report_effect target_registry::merge(const wire::target_departure_t& departure, time_point now) {
+    wire::target_report_t report;
+    report.id = departure.id;
+    report.started_at_ms = departure.started_at_ms;
+    report.phase = departure.phase;
+    return this->merge(report, now);
+}
+
 // A target that ended without a departure report may still be registered at an address that a new target now uses.
 void target_registry::claim_address(const std::string& id) {
     entry& claimant = this->entries.at(id);
