Replacements that are lost themselves leave no dead voter behind

Cause: a process that joined could replace a voter that another one was replacing already, or a replacement that was lost before it had caught up. When the latter was removed, the voter that it was to replace stayed, so that the log had one voter more than it should and bore fewer losses. A lost disk twice in a row at one address does the same on the other path, with persimmongrade-control.

Change: who joins in whose place is decided apart from I/O (voter_admission.h), and skips voters that are being replaced. Who replaces a replacement takes over what it was to replace (voter_sets.h, both paths).

--- a/src/consensus/voter_sets.h
+++ b/src/consensus/voter_sets.h
@@ -36,16 +36,18 @@
     return !member.replaces.empty() && find_member(set, member.replaces) != nullptr;
 }
 
-// The set without the member `id`. `replaces` is cleared in members that replace it.
+// The set without the member `id`. A member that replaces it replaces next what it was to replace itself: a replacement
+// may be lost before it has caught up.
 inline wire::voter_set_t without_member(const wire::voter_set_t& set, const std::string& id) {
     wire::voter_set_t result;
+    const wire::voter_t* removed = find_member(set, id);
     for (const auto& item : set.voters) {
         if (item->id == id) {
             continue;
         }
         result.voters.push_back(std::make_unique<wire::voter_t>(*item));
         if (item->replaces == id) {
-            result.voters.back()->replaces.clear();
+            result.voters.back()->replaces = removed == nullptr ? std::string() : removed->replaces;
         }
     }
     return result;
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -20,6 +20,7 @@
 #include "persimmongrade/report_stream.h"
 #include "persimmongrade/target_limits.h"
 #include "persimmongrade/target_registry.h"
+#include "voter_admission.h"
 
 namespace persimmongrade {
 
@@ -31,7 +32,6 @@
 // A snapshot of a few hundred items loads faster than the log entries that it replaces.
 constexpr std::size_t snapshot_entry_threshold = 500;
 constexpr duration join_interval = ms(300);
-constexpr duration lost_voter_timeout = ms(1500);     // after this silence, a joining process may replace the voter
 constexpr duration leaderless_join_delay = ms(1500);  // longer than an election
 constexpr duration timeout_check_interval = ms(100);
 constexpr duration report_batch_interval = ms(25);      // batches the reports of targets that start together
@@ -294,8 +294,6 @@
         return session == this->member_sessions.end() ? heard : std::max(heard, session->second.last_ping_at);
     }
 
-    // The voter that has been silent for longest, which need not be the one that is gone: one that comes back asks to
-    // join again, and then takes the place of the next one.
     void handle_join_request(const std::string& from, const wire::join_request_t& request) {
         wire::join_reply_t reply;
         reply.members = this->peer_addresses();
@@ -303,38 +301,19 @@
         if (!this->log.is_leader() || this->is_stopping) {
             return;
         }
-        membership_change change;
-        change.member.id = request.id;
-        change.member.address = request.address;
-        change.member.voting = false;
-        std::size_t voter_count = 0;
-        std::string lost_voter;
         time_point now = this->loop.now();
-        time_point lost_since = now - lost_voter_timeout;
-        for (const auto& voter : this->log.voters().voters) {
-            if (voter->id == request.id) {
-                return;
-            }
-            ++voter_count;
-            if (voter->address == request.address) {
-                change.member.replaces = voter->id;
-            }
-            time_point heard = this->voter_heard_at(voter->id);
-            if (voter->id != this->log.id() && heard < lost_since) {
-                lost_voter = voter->id;
-                lost_since = heard;
-            }
-        }
-        if (change.member.replaces.empty() && voter_count >= 2 * this->settings.lost_disks + 1) {
-            if (lost_voter.empty()) {
-                return;  // no voter is missing
-            }
-            change.member.replaces = lost_voter;
+        auto silence = [&](const std::string& id) {
+            return id == this->log.id() ? duration::zero() : now - this->voter_heard_at(id);
+        };
+        auto admitted = admitted_voter(this->log.voters(), request, 2 * this->settings.lost_disks + 1, silence);
+        if (!admitted) {
+            return;
         }
+        membership_change change;
+        change.member = *admitted;
         try {
             this->log.change_voters(now, change);
-            log_event("member_added", field("id", request.id), field("replaces", change.member.replaces),
-                      field("voters", voter_count));
+            log_event("member_added", field("id", request.id), field("replaces", change.member.replaces));
         } catch (const error& failure) {  // for example another change in progress: the process asks again
             log_event("member_not_added", field("id", request.id), field("reason", failure.what()));
         }
--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "cluster.h"
+#include "voter_sets.h"
 
 using namespace persimmongrade;
 
@@ -111,6 +112,28 @@
     CHECK_THROWS_AS(other->core->change_voters(members.local_time(*other), {}), not_leader_error);
 }
 
+// A replacement lost its disk before it had caught up. The dead voter that it was to replace stayed in the set, which
+// had one voter more from then on, and bore fewer losses.
+TEST_CASE("a member that replaces a replacement takes over what that was to replace") {
+    wire::voter_set_t set;
+    auto add = [&](const std::string& id, const std::string& replaces, bool voting) {
+        set.voters.push_back(std::make_unique<wire::voter_t>());
+        set.voters.back()->id = id;
+        set.voters.back()->replaces = replaces;
+        set.voters.back()->voting = voting;
+    };
+    add("gone", "", true);
+    add("a", "", true);
+    add("b", "", true);
+    add("lost", "gone", false);
+    add("second", "lost", true);
+    wire::voter_set_t next = without_member(set, "lost");
+    REQUIRE(awaits_removal(next, *find_member(next, "second")));
+    next = without_member(next, "gone");
+    CHECK(voter_count(next) == 3);
+    CHECK_FALSE(awaits_removal(next, *find_member(next, "second")));
+}
+
 TEST_CASE("the replacement of a voter completes after a change of leader") {
     cluster members(3, 11);
     auto* leader = wait_for_leader(members);
--- a/tests/fleet/test_membership.cpp
+++ b/tests/fleet/test_membership.cpp
@@ -2,6 +2,7 @@
 // disks at once.
 
 #include "fleet_fixture.h"
+#include "voter_admission.h"
 
 using namespace persimmongrade;
 
@@ -65,3 +66,66 @@
     REQUIRE(system.leader() != nullptr);
     CHECK(system.leader()->items().find(wire::item_kind::service, "second") != nullptr);
 }
+
+namespace {
+
+wire::voter_set_t three_voters() {
+    wire::voter_set_t members;
+    for (const std::string id : {"a", "b", "c"}) {
+        members.voters.push_back(std::make_unique<wire::voter_t>());
+        members.voters.back()->id = id;
+        members.voters.back()->address = id + ":1";
+        members.voters.back()->voting = true;
+    }
+    return members;
+}
+
+void add_replacement(wire::voter_set_t& members, const std::string& id, const std::string& replaces) {
+    members.voters.push_back(std::make_unique<wire::voter_t>());
+    members.voters.back()->id = id;
+    members.voters.back()->address = id + ":1";
+    members.voters.back()->replaces = replaces;
+    members.voters.back()->voting = false;
+}
+
+wire::join_request_t join_request(const std::string& id) {
+    wire::join_request_t request;
+    request.id = id;
+    request.address = id + ":1";
+    return request;
+}
+
+}  // namespace
+
+TEST_CASE("a process that joins replaces the voter that has been silent for longest") {
+    std::map<std::string, duration> silence{{"a", ms(0)}, {"b", ms(9000)}, {"c", ms(2000)}};
+    auto admit = [&](const wire::voter_set_t& members, const wire::join_request_t& request) {
+        return admitted_voter(members, request, 3, [&](const std::string& id) { return silence[id]; });
+    };
+    CHECK(admit(three_voters(), join_request("x"))->replaces == "b");
+    CHECK_FALSE(admit(three_voters(), join_request("b")).has_value());  // a member already
+    auto other_disk = join_request("a.1");
+    other_disk.address = "a:1";
+    CHECK(admit(three_voters(), other_disk)->replaces == "a");
+    silence["b"] = lost_voter_timeout;
+    silence["c"] = ms(0);
+    CHECK_FALSE(admit(three_voters(), join_request("x")).has_value());
+    CHECK(admitted_voter(three_voters(), join_request("x"), 5, [](const std::string&) {
+              return ms(0);
+          })->replaces.empty());
+}
+
+// Two processes that joined while two voters were lost both replaced the same one, or one replaced the other.
+TEST_CASE("a voter that is being replaced is not replaced by another process too") {
+    std::map<std::string, duration> silence{{"a", ms(0)}, {"b", ms(9000)}, {"c", ms(2000)}, {"x", ms(0)}};
+    auto admit = [&](const wire::voter_set_t& members, const wire::join_request_t& request) {
+        return admitted_voter(members, request, 3, [&](const std::string& id) { return silence[id]; });
+    };
+    wire::voter_set_t members = three_voters();
+    add_replacement(members, "x", "b");
+    CHECK(admit(members, join_request("y"))->replaces == "c");
+    silence["c"] = ms(0);
+    CHECK_FALSE(admit(members, join_request("y")).has_value());
+    silence["x"] = ms(2000);  // lost before it has caught up
+    CHECK(admit(members, join_request("y"))->replaces == "x");
+}
