Gateways without items change their source at once only when it has no leader

Change: only a source without a leader, which sends no items, is left at once. Evidence: the cases of gateways in test_fleet pass; none failed before.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -108,18 +108,21 @@
 // Whether others have applied more than this gateway for too long, or have a leader while the source has none: it may
 // be cut off from the majority.
 bool control_link::is_behind(time_point now, const control_peer& current) {
-    bool is_passed = std::any_of(this->control_peers.begin(), this->control_peers.end(), [&](const auto& entry) {
-        const control_peer& other = entry.second;
-        return other.is_reachable &&
-               (other.applied > this->items.applied() || (other.has_leader && !current.has_leader));
-    });
+    auto any_other = [&](auto condition) {
+        return std::any_of(this->control_peers.begin(), this->control_peers.end(),
+                           [&](const auto& entry) { return entry.second.is_reachable && condition(entry.second); });
+    };
+    bool is_leaderless = !current.has_leader && any_other([](const control_peer& other) { return other.has_leader; });
+    bool is_passed =
+        is_leaderless || any_other([this](const control_peer& other) { return other.applied > this->items.applied(); });
     if (!is_passed) {
         this->source_behind_since = time_point{};
     } else if (this->source_behind_since == time_point{}) {
         this->source_behind_since = now;
     }
-    // Without items, this gateway refuses every request.
-    return is_passed && (this->items.empty() || now - this->source_behind_since > max_source_lag);
+    // A source without a leader sends no items, and without items this gateway refuses every request.
+    bool is_useless = is_leaderless && this->items.empty();
+    return is_useless || (is_passed && now - this->source_behind_since > max_source_lag);
 }
 
 bool control_link::is_better_source(const control_peer& other, const control_peer& chosen) const {
