Answers to departures of an earlier start acknowledge nothing

A late answer to a request before the restart would have acknowledged another target's departure.

Change: the numbers begin at random. The new case of test_departure_queue.cpp covers it; the numbers could not be given before.

--- a/src/fleet/departure_queue.cpp
+++ b/src/fleet/departure_queue.cpp
@@ -9,7 +9,7 @@
 void departure_requests::add(time_point now, const wire::target_report_t& report, std::int64_t known_start_ms,
                              answer_function answer) {
     wire::departure_request_t request;
-    request.number = ++this->last_number;
+    request.number = this->next_number++;
     request.target = report.id;
     request.phase = report.phase;
     request.started_at_ms = report.started_at_ms;
--- a/src/fleet/departure_queue.h
+++ b/src/fleet/departure_queue.h
@@ -22,6 +22,7 @@
 
 // Departures that this process has been told of.
 //
+//     departure_requests requests(random_bits());
 //     requests.add(now, report, known_start_ms, [](bool recorded) { ... });
 //     requests.refuse_overdue(now, leader);
 //     for (auto& request : requests.unsent(leader)) { send it to `leader` }
@@ -30,6 +31,10 @@
 public:
     using answer_function = std::function<void(bool recorded)>;
 
+    // Requests are numbered from `first_number` on. It must differ at each start of the process: a late answer to a
+    // request of an earlier start must acknowledge nothing.
+    explicit departure_requests(std::uint64_t first_number) : next_number(first_number) {}
+
     // `known_start_ms` is the start of the target as known here, 0 when it is not known.
     void add(time_point now, const wire::target_report_t& report, std::int64_t known_start_ms, answer_function answer);
     // Requests that `leader` has not been sent, for example because it has just been elected. They count as sent.
@@ -47,7 +52,7 @@
     };
 
     std::vector<waiting_request> waiting;
-    std::uint64_t last_number = 0;
+    std::uint64_t next_number;
 };
 
 // Departures that the leader has been asked to record.
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -101,7 +101,7 @@
     std::uint16_t http_port;
     item_store items;
     target_registry targets;
-    departure_requests departures_asked;
+    departure_requests departures_asked{random_bits()};
     departure_batches departures_to_record;  // as the leader
     quarantine crashes;
     target_limits limits;
--- a/tests/fleet/test_departure_queue.cpp
+++ b/tests/fleet/test_departure_queue.cpp
@@ -32,7 +32,7 @@
 }  // namespace
 
 TEST_CASE("a departure is refused at once without a leader, and after the timeout when the leader does not answer") {
-    departure_requests requests;
+    departure_requests requests(1);
     answer_log answers;
     requests.add(start, leaving("a"), 1, answers.for_target("a"));
     requests.refuse_overdue(start, "");
@@ -48,7 +48,7 @@
 }
 
 TEST_CASE("a new leader is asked again for departures that the former one has not answered") {
-    departure_requests requests;
+    departure_requests requests(1);
     answer_log answers;
     requests.add(start, leaving("a"), 1, answers.for_target("a"));
     REQUIRE(requests.unsent("first").size() == 1);
@@ -60,6 +60,19 @@
     CHECK(requests.unsent("third").empty());
 }
 
+// A control process that starts again has the same id, so that answers to its earlier requests still reach it.
+TEST_CASE("an answer to a request of an earlier start acknowledges nothing") {
+    departure_requests before(0x1000);
+    departure_requests after(0x9000);
+    answer_log answers;
+    before.add(start, leaving("a"), 1, answers.for_target("a"));
+    after.add(start, leaving("b"), 1, answers.for_target("b"));
+    after.answer(before.unsent("leader").front().number, true);
+    CHECK(answers.recorded.empty());
+    after.answer(after.unsent("leader").front().number, true);
+    CHECK(answers.recorded == std::vector<std::string>{"b"});
+}
+
 // Load pattern: an eighth of 1,080 targets leaves within a second, and a commit between regions takes 40 ms.
 TEST_CASE("targets that leave together share log entries") {
     departure_batches batches;
