--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -504,7 +504,7 @@
                 wire::departure_reply_t reply;
                 reply.number = number;
                 reply.recorded = recorded;
-                this->peers.send(id, std::move(reply));
+                this->peers.send(id, reply);
             }
         }
     }
@@ -982,7 +982,7 @@
             }
         }
         if (!is_leaving || report.started_at_ms != 0) {
-            this->record_report(std::move(report));
+            this->record_report(report);
         }
         if (!is_leaving) {
             this->reports_received.Increment();
@@ -994,7 +994,7 @@
         this->send_departure_requests();
     }
 
-    void record_report(wire::target_report_t report) {
+    void record_report(const wire::target_report_t& report) {
         time_point now = this->loop.now();
         std::string id = report.id;
         report_effect effect = this->targets.merge(report, now);
