--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -183,11 +183,7 @@
     bool is_leader() const { return this->role == role_kind::leader; }
     bool has_leader_lease(time_point now) const;  // no other process holds a leader lease at `now`
     bool can_serve_reads(time_point now) const;   // lease held, and all earlier commits known and applied
-    // Whether everything that was committed before the present leader was elected, and since until its last message, is
-    // committed here. A process that has just started knows only its last snapshot, although later entries are on its
-    // disk.
-    bool knows_all_commits() const;
-    bool is_voter() const;                                         // in the newest voter set known to this member
+    bool is_voter() const;                        // in the newest voter set known to this member
     const std::string& leader_id() const { return this->leader; }  // empty: unknown
     std::uint64_t term() const { return this->hard.term; }
     std::uint64_t commit_index() const { return this->committed_index; }
@@ -196,6 +192,10 @@
     const snapshot_pointer& current_snapshot() const { return this->newest_snapshot; }  // load its data at start
     const wire::voter_set_t& voters() const;  // newest, possibly not yet committed
     bool membership_change_pending() const;   // uncommitted set, or a promotion or removal outstanding
+    // Whether everything that was committed before the present leader was elected, and since until its last message, is
+    // committed here. A process that has just started knows only its last snapshot, although later entries are on its
+    // disk.
+    bool knows_all_commits() const;
 
     // Leader only. Whether the member has answered a request that was sent within the last election timeout.
     bool is_recently_active(time_point now, const std::string& member) const;
