Callbacks of the fleet tests no longer refer to variables of functions that have returned

Cause: membership_fixture::submit and departures_fixture::depart try again until one attempt succeeds, with callbacks that hold a reference to a local variable. Attempts that are answered after the successful one wrote to a stack frame that was gone. Change: the callbacks share the variable. The conditions of the tests are unchanged.

--- a/tests/fleet/test_departures.cpp
+++ b/tests/fleet/test_departures.cpp
@@ -33,15 +33,15 @@
 
     // Reports until the control process acknowledges, as a target that leaves does.
     bool depart(std::size_t i, const wire::target_report_t& report, duration limit) {
-        bool accepted = false;
+        auto accepted = std::make_shared<bool>(false);  // later reports are answered after the first accepted one
         this->run_until(
             [&] {
-                this->control[i]->report(report, [&accepted](bool result) { accepted = accepted || result; });
+                this->control[i]->report(report, [accepted](bool result) { *accepted = *accepted || result; });
                 this->loop.run_for(ms(20));
-                return accepted;
+                return *accepted;
             },
             limit);
-        return accepted;
+        return *accepted;
     }
 
     std::unique_ptr<stub_gateway> gateway;
--- a/tests/fleet/test_membership.cpp
+++ b/tests/fleet/test_membership.cpp
@@ -24,18 +24,18 @@
     }
 
     bool submit(const std::string& name, std::uint64_t version) {
-        bool accepted = false;
+        auto accepted = std::make_shared<bool>(false);  // later attempts are answered after the first accepted one
         this->run_until(
             [&] {
                 if (fleet_control* process = this->leader()) {
-                    process->submit(service_batch(name, version), [&](const command_result& result) {
-                        accepted = accepted || result.status == command_status::accepted;
+                    process->submit(service_batch(name, version), [accepted](const command_result& result) {
+                        *accepted = *accepted || result.status == command_status::accepted;
                     });
                 }
-                return accepted;
+                return *accepted;
             },
             ms(5000));
-        return accepted;
+        return *accepted;
     }
 };
 
