A voter that gateways still reach is not replaced

Shown by the new test only. Cause: the leader counts only its own links. When one voter is gone and another is cut off from the control processes, the longest silent one is the one that is cut off; the dead one keeps its place in the set until the other comes back. Change: answers of the leader to pings of gateways name the voters that it has not heard for 0.5 s. Gateways ping these every 300 ms and name in their pings those that answer within 0.7 s, by process id. That counts as a sign of life.

--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -33,6 +33,7 @@
 constexpr std::size_t snapshot_entry_threshold = 500;
 constexpr duration join_interval = ms(300);
 constexpr duration leaderless_join_delay = ms(1500);  // longer than an election
+constexpr duration silent_voter_timeout = ms(500);    // five heartbeats; gateways are then asked about the voter
 constexpr duration timeout_check_interval = ms(100);
 constexpr duration report_batch_interval = ms(25);      // batches the reports of targets that start together
 constexpr duration gateway_ping_timeout = ms(1200);     // four missed pings
@@ -119,7 +120,7 @@
     gateway_list serving_gateways;                       // of all control processes
     std::uint64_t logged_gateways_version = 0;
     std::map<std::string, time_point>
-        member_heard_at;         // last message of each member; cleared at the start of a term as leader
+        member_heard_at;         // last sign of life of each member; cleared at the start of a term as leader
     time_point has_leader_at{};  // last time that a leader was known
     bool is_stopping = false;
     bool had_leader = false;
@@ -286,14 +287,25 @@
         }
     }
 
-    // Last message of the voter, to the log or to this process. A voter not heard since this process became the leader
-    // counts as heard at its first question.
+    // Last sign of life of the voter: a message to the log or to this process, or the word of a gateway that reaches
+    // it. A voter not heard since this process became the leader counts as heard at the first question.
     time_point voter_heard_at(const std::string& id) {
         time_point heard = this->member_heard_at.try_emplace(id, this->loop.now()).first->second;
         auto session = this->member_sessions.find(id);
         return session == this->member_sessions.end() ? heard : std::max(heard, session->second.last_ping_at);
     }
 
+    std::vector<std::string> silent_voters() {
+        std::vector<std::string> silent;
+        time_point now = this->loop.now();
+        for (const auto& voter : this->log.voters().voters) {
+            if (voter->id != this->log.id() && now - this->voter_heard_at(voter->id) > silent_voter_timeout) {
+                silent.push_back(voter->id);
+            }
+        }
+        return silent;
+    }
+
     void handle_join_request(const std::string& from, const wire::join_request_t& request) {
         wire::join_reply_t reply;
         reply.members = this->peer_addresses();
@@ -621,6 +633,9 @@
         if (was_serving != ping.serving) {
             this->update_serving_gateways();
         }
+        for (const std::string& id : ping.reached) {
+            this->member_heard_at[id] = now;
+        }
         // Before the items, without which a gateway that has just started sends no request to targets.
         bool wants_news = ping.wants_news || !session.knows_news;
         if (wants_news) {
@@ -653,6 +668,9 @@
                           [&](const auto& entry) { return entry.second.last_ping.region == ping.region; }));
         pong.applied = this->items.applied();
         pong.sent_news = sent_news;
+        if (this->log.is_leader()) {
+            pong.silent = this->silent_voters();
+        }
         pong.gateways_version = this->serving_gateways.version();
         if (ping.takes_changes && ping.wants_items) {
             pong.changes = std::make_unique<wire::gateway_changes_t>(
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -191,6 +191,11 @@
     message.wants_items = address == this->source;
     message.wants_news = message.wants_items && !this->news_received;
     message.far = !near;
+    for (const std::string& id : to.silent) {
+        if (this->answers(now, id)) {
+            message.reached.push_back(id);
+        }
+    }
     to.pinged_at = now;
     if (to.unanswered_since == time_point{}) {
         to.unanswered_since = now;
@@ -208,6 +213,13 @@
     return !has_source || !has_region;
 }
 
+bool control_link::is_asked_about(const control_peer& peer) const {
+    return std::any_of(this->control_peers.begin(), this->control_peers.end(), [&](const auto& entry) {
+        const std::vector<std::string>& silent = entry.second.silent;
+        return entry.second.is_reachable && std::find(silent.begin(), silent.end(), peer.id) != silent.end();
+    });
+}
+
 bool control_link::is_near(const std::string& address, const control_peer& peer, bool all_near) const {
     return all_near || address == this->source || peer.region.empty() || peer.region == this->settings.region;
 }
@@ -243,7 +255,8 @@
             continue;
         }
         bool near = this->is_near(address, peer, all_near);
-        bool is_due = near || !peer.is_reachable || now - peer.pinged_at >= far_ping_interval;
+        bool is_due =
+            near || !peer.is_reachable || this->is_asked_about(peer) || now - peer.pinged_at >= far_ping_interval;
         if (scope == ping_scope::all || is_due) {
             this->ping(address, peer, near);
         }
@@ -261,6 +274,11 @@
     return found == this->control_peers.end() || found->second.id != id ? nullptr : &found->second;
 }
 
+bool control_link::answers(time_point now, const std::string& id) {
+    const control_peer* known = this->find_control_peer(id);
+    return known != nullptr && known->is_reachable && now - known->answered_at <= max_answer_age;
+}
+
 void control_link::receive(const wire::envelope_t& envelope) {
     if (const auto* pong = envelope.body.Asgateway_pong()) {
         this->on_pong(envelope.from, *pong);
@@ -349,6 +367,7 @@
     known.region = pong.region;
     known.applied = pong.applied;
     known.has_leader = pong.has_leader;
+    known.silent = pong.silent;
     if (known.id != from || !known.is_reachable) {
         known.knows_news = false;
         this->news_received = this->news_received && pong.address != this->source;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -11,6 +11,9 @@
 // Notices and limits go to every control process. Each passes news on to the others, and to the gateways whose source
 // it is. A process that was not connected gets everything when it answers again, which takes at most control_timeout
 // and a ping interval after the connection works.
+//
+// The leader of the control processes asks about those that it does not hear. Pings tell it which of them answer this
+// gateway, so that it does not replace one that is only cut off.
 
 #pragma once
 
@@ -76,6 +79,7 @@
         std::uint64_t applied = 0;  // log index that it has applied
         bool has_leader = false;
         gateway_list_copy gateways;
+        std::vector<std::string> silent;  // process ids that it does not hear, and asks about
         bool is_reachable = false;
         bool knows_news = false;  // was sent all notices and limits that this gateway knows
 
@@ -89,6 +93,7 @@
     void ping_peers(ping_scope scope);
     bool is_near(const std::string& address, const control_peer& peer, bool all_near) const;
     bool must_ping_all_often(time_point now) const;
+    bool is_asked_about(const control_peer& peer) const;
     void drop_connection_if_silent(time_point now, const std::string& address, control_peer& peer);
     bool is_behind(time_point now, const control_peer& current);
     bool is_better_source(const control_peer& other, const control_peer& chosen) const;
@@ -106,6 +111,7 @@
     void on_reports(const std::string& from, const wire::target_reports_t& message);
     void add_control_peer(const std::string& address);
     control_peer* find_control_peer(const std::string& id);
+    bool answers(time_point now, const std::string& id);
 
     event_loop& loop;
     wire::fleet_settings_t settings;
--- a/tests/fleet/fleet_fixture.h
+++ b/tests/fleet/fleet_fixture.h
@@ -174,6 +174,15 @@
         return nullptr;
     }
 
+    std::size_t leader_index() const {
+        for (std::size_t i = 0; i < this->control.size(); ++i) {
+            if (this->control[i] && this->control[i].get() == this->leader()) {
+                return i;
+            }
+        }
+        return this->control.size();
+    }
+
     // Runs until the condition holds, at most for `limit`. Returns how long it took.
     template <typename Condition>
     duration run_until(Condition condition, duration limit) {
--- a/tests/fleet/test_departures.cpp
+++ b/tests/fleet/test_departures.cpp
@@ -22,15 +22,6 @@
         this->loop.run_for(ms(1000));  // connections between all processes
     }
 
-    std::size_t leader_index() const {
-        for (std::size_t i = 0; i < this->control.size(); ++i) {
-            if (this->control[i] && this->control[i].get() == this->leader()) {
-                return i;
-            }
-        }
-        return this->control.size();
-    }
-
     // Reports until the control process acknowledges, as a target that leaves does.
     bool depart(std::size_t i, const wire::target_report_t& report, duration limit) {
         auto accepted = std::make_shared<bool>(false);  // later reports are answered after the first accepted one
--- a/tests/fleet/test_membership.cpp
+++ b/tests/fleet/test_membership.cpp
@@ -69,6 +69,65 @@
 
 namespace {
 
+// Stands for a control process that is cut off from the others: it answers gateways only.
+class isolated_control {
+public:
+    isolated_control(event_loop& loop, std::size_t host)
+        : address(host_address(host, 7100)),
+          peers(
+              loop, "test", this->address, ip_address::parse(this->address), this->metrics,
+              [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peers) {}
+
+private:
+    void receive(const wire::envelope_t& envelope) {
+        if (envelope.body.Asgateway_ping() != nullptr) {
+            wire::gateway_pong_t pong;
+            pong.address = this->address;
+            this->peers.send(envelope.from, pong);
+        }
+    }
+
+    std::string address;
+    metric_registry metrics;
+    peer_transport peers;
+};
+
+}  // namespace
+
+// The leader replaced a voter that was cut off instead of the one that was gone. The loss of two more disks while it
+// was still away ended the quorum for good, although three of five disks were left.
+TEST_CASE("a voter that gateways reach is not the one that is replaced") {
+    membership_fixture system;
+    std::vector<std::unique_ptr<stub_gateway>> gateways;
+    for (const char* region : {"north", "central", "south"}) {
+        gateways.push_back(std::make_unique<stub_gateway>(system.loop, 100 + gateways.size(), 5, region));
+    }
+    system.loop.run_for(ms(1000));
+    REQUIRE(system.submit("first", 1));
+    std::size_t leader = system.leader_index();
+    auto follower = [&](std::size_t n) { return (leader + n) % 5; };
+    system.control[follower(1)].reset();
+    auto cut_off = std::make_unique<isolated_control>(system.loop, follower(1));
+    system.loop.run_for(ms(600));
+    system.lose_disk(follower(2));  // for good
+    system.loop.run_for(ms(1000));
+    system.add_control();
+    system.loop.run_for(sync_time);
+    REQUIRE(system.submit("second", 2));
+    system.lose_disk(follower(3));
+    system.lose_disk(follower(4));
+    system.loop.run_for(ms(1000));
+    system.start_control(follower(3), false);
+    system.start_control(follower(4), false);
+    cut_off.reset();
+    system.start_control(follower(1));
+    system.run_until([&] { return system.leader() != nullptr; }, ms(15000));
+    REQUIRE(system.leader() != nullptr);
+    CHECK(system.leader()->items().find(wire::item_kind::service, "second") != nullptr);
+}
+
+namespace {
+
 wire::voter_set_t three_voters() {
     wire::voter_set_t members;
     for (const std::string id : {"a", "b", "c"}) {
