Comments on departures and voters in the usual terms

Change: comments only, in four files. Result: format checked over all files; both programs build; cases of departures (8) and of voters (3) passed, plain build.

--- a/include/persimmongrade/fleet_control.h
+++ b/include/persimmongrade/fleet_control.h
@@ -12,8 +12,8 @@
 // Reports and the list of gateways travel between the control processes, and from each to the gateways that chose it as
 // their source, one in their own region while there is one. Gateways ping the others seldom.
 //
-// The departure of a target is acknowledged once it is committed in the log, as gateways must follow it from then on,
-// whatever happens to the process that was told. Gateways get it like items, besides the report itself.
+// The departure of a target is acknowledged once it is committed in the log: gateways must follow it from then on, also
+// when the process that received it ends. They receive it with the items, and earlier as a report.
 //
 // It also passes on news that gateways learn from targets, quarantine notices and limits: each gateway sends its own to
 // every control process, and gets those of the others from the one that sends it items.
@@ -69,7 +69,7 @@
 
     // Target reports. A report of phase `gone` needs only the target's id. The callback runs once, at the latest after
     // departure_timeout unless the process ends. It gets false when the departure of a target cannot be recorded,
-    // because there is no leader or nobody knows the target: the target must then report to another process.
+    // because there is no leader or the target is unknown: the target must then report to another process.
     using report_callback = std::function<void(bool accepted)>;
     void report(
         wire::target_report_t report, const report_callback& callback = [](bool) {});
--- a/src/fleet/departure_queue.h
+++ b/src/fleet/departure_queue.h
@@ -1,7 +1,6 @@
-// Departures of targets that wait to be stored by a majority of the control processes, and are acknowledged then. Free
-// of I/O. The process that a target called asks the leader (departure_requests); the leader collects what it is asked,
-// and proposes one entry of the log after the other (departure_batches). Many targets that leave together share an
-// entry.
+// Departures of targets that are not yet committed in the log, and are acknowledged then. Free of I/O. The control
+// process that receives a departure sends a request to the leader (departure_requests). The leader proposes all
+// departures that wait as one log entry, one entry at a time (departure_batches).
 
 #pragma once
 
@@ -20,7 +19,7 @@
 // Targets call another control process after a second without an answer.
 inline constexpr duration departure_timeout = ms(800);
 
-// Departures that this process has been told of.
+// Departures reported to this process that the leader has not answered yet.
 //
 //     departure_requests requests(random_bits());
 //     requests.add(now, report, known_start_ms, [](bool recorded) { ... });
@@ -55,7 +54,7 @@
     std::uint64_t next_number;
 };
 
-// Departures that the leader has been asked to record.
+// Departures that the leader has received and not committed yet.
 class departure_batches {
 public:
     struct asker {
@@ -68,7 +67,7 @@
     // What the next entry holds; empty while an entry is in flight or nothing waits.
     std::vector<wire::target_departure_t> next() const;
     void proposed(std::uint64_t index, std::uint64_t term);
-    // A committed entry of the log. Returns who asked for what it has recorded.
+    // Call for each committed log entry. Returns the requests whose departures it contains.
     std::vector<asker> committed(std::uint64_t index, std::uint64_t term);
     // This process is no longer the leader. Returns everyone who waits: whether the entry in flight is committed is not
     // known.
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -287,8 +287,8 @@
         }
     }
 
-    // Last sign of life of the voter: a message to the log or to this process, or the word of a gateway that reaches
-    // it. A voter not heard since this process became the leader counts as heard at the first question.
+    // Last sign of life of the voter: a message to the log or to this process, or a gateway's ping that names it as
+    // reached. A voter not heard since this process became the leader counts as heard at the first question.
     time_point voter_heard_at(const std::string& id) {
         time_point heard = this->member_heard_at.try_emplace(id, this->loop.now()).first->second;
         auto session = this->member_sessions.find(id);
--- a/src/fleet/voter_admission.h
+++ b/src/fleet/voter_admission.h
@@ -1,8 +1,8 @@
 // Decides how a control process that asks to join becomes a member of the replicated log. Free of I/O.
 //
-// A voter that is gone cannot be told from one that has been cut off from everybody. The voter without a sign of life
-// for longest is replaced; the word of a gateway that reaches it is one. A voter that was replaced and comes back asks
-// to join again, and then takes the place of the next one that is silent.
+// A voter that is gone cannot be distinguished from one that is cut off from every process. The voter whose last sign
+// of life is oldest is replaced; an answer to a gateway is a sign of life. A voter that was replaced and returns asks
+// to join again, and then replaces the next silent one.
 
 #pragma once
 
@@ -16,7 +16,7 @@
 
 namespace persimmongrade {
 
-// After this silence, a process that joins may replace the voter.
+// After this silence, three election timeouts, a process that joins may replace the voter.
 inline constexpr duration lost_voter_timeout = ms(1500);
 
 // The member to add for `request`, with the one that it replaces; empty when it is a member already, or when there are
