Pipelined requests that may run twice are handled side by side

Cause: clients send groups of requests on one connection, whose time limits run from then on. The second waited for the answer to the first. Change: the server keeps the open requests of a connection in order, starts those that the gateway lets overlap, and writes answers in the order of the requests. Requests with a body or that run once wait for their turn, since what stands behind a closing answer counts as not read. Answers count against the memory for buffers; above it the client that most is held for is closed.

--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -3,6 +3,9 @@
 #include <h2o.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -22,11 +25,19 @@
 constexpr duration timeout_check_interval = ms(250);
 // Lets the client read its answer before the connection is closed, which may reset it.
 constexpr duration linger_timeout = ms(1000);
-constexpr std::size_t max_pipelined_bytes = 65536;  // bytes of pipelined requests that are read while one is answered
+constexpr std::size_t max_pipelined_bytes = 65536;  // of requests that wait for the answers before them
+constexpr std::size_t max_open_requests = 32;       // of one connection, whose answers are due in order
 // Bodies up to this size are appended to the head, and written with it.
 constexpr std::size_t max_coalesced_body_bytes = 16384;
 
-enum class connection_phase : std::uint8_t { head, body, answering, writing, lingering, closed };
+// What is read from a connection next. Answers are written at the same time.
+enum class read_phase : std::uint8_t {
+    head,
+    body,
+    stopped,    // no further request is read: the last answer closes the connection
+    lingering,  // the last answer has been written
+    closed,
+};
 
 }  // namespace
 
@@ -39,7 +50,7 @@
     h2o_socket_t* listener = nullptr;
     std::unordered_map<connection*, std::shared_ptr<connection>> connections;
     std::size_t requests = 0;
-    std::size_t buffered_bytes = 0;
+    std::size_t buffered_bytes = 0;  // request bodies until their answer, and answers until they are written
     bool closing = false;
     timer_id timeout_timer = 0;
 
@@ -48,21 +59,35 @@
 
     void accept(h2o_socket_t* socket);
     void enforce_timeouts();
+    void limit_buffers();
 };
 
 class front_server::impl::connection : public std::enable_shared_from_this<connection> {
 public:
+    // A request that was read, in the order in which answers are due.
+    struct open_request {
+        std::uint64_t serial = 0;
+        bool is_head_request = false;
+        bool closes = false;  // the connection ends after its answer
+        std::size_t buffered_bytes = 0;
+        std::function<void()> disconnect_callback;
+        std::optional<front_answer> answer;  // waits for the answers before it
+    };
+
     impl& owner;
     h2o_socket_t* socket;
-    connection_phase phase = connection_phase::head;
+    read_phase phase = read_phase::head;
     time_point last_progress_at;  // start of the phase, or arrival of the last bytes of a body
-    message_head head;
+    message_head head;            // of the request that is read
     body_reader reader;
-    std::size_t own_buffered_bytes = 0;
-    std::uint64_t request_serial = 0;  // of the request being answered
-    std::function<void()> disconnect_callback;
-    bool close_after = false;
+    std::size_t reading_bytes = 0;  // of its body
+    bool head_started = false;
+    bool awaits_turn = false;  // the next request was received, and must not run beside those before it
     bool reading = false;
+    std::uint64_t last_serial = 0;
+    std::deque<open_request> open_requests;
+    bool writing = false;  // the answer to the first open request
+    time_point write_started_at{};
     std::string out_head;
     std::string out_body;
 
@@ -82,7 +107,7 @@
                 self->close();
                 return;
             }
-            self->on_bytes();
+            self->read_requests();
         });
     }
 
@@ -94,102 +119,155 @@
 
     std::string_view input() const { return {this->socket->input->bytes, this->socket->input->size}; }
 
-    void on_bytes() {
-        switch (this->phase) {
-        case connection_phase::head:
-        case connection_phase::body:
-            this->read_request();
-            return;
-        case connection_phase::lingering:
+    // ---- Requests ----
+
+    void read_requests() {
+        bool more = true;
+        while (more && (this->phase == read_phase::head || this->phase == read_phase::body)) {
+            more = this->phase == read_phase::head ? this->read_head() : this->read_body();
+        }
+        if (this->phase == read_phase::lingering) {
             h2o_buffer_consume(&this->socket->input, this->socket->input->size);
-            return;
-        case connection_phase::answering:
-        case connection_phase::writing:
-            if (this->socket->input->size > max_pipelined_bytes) {
-                this->stop_reading();
-            }
-            return;
-        case connection_phase::closed:
-            return;
+        } else if (this->phase != read_phase::closed && this->input().size() > max_pipelined_bytes) {
+            this->stop_reading();  // until an answer has been written
         }
     }
 
-    void read_request() {
-        if (this->phase == connection_phase::head) {
-            if (this->input().empty()) {
-                return;
-            }
-            if (!this->head_started) {
-                this->head_started = true;
-                this->last_progress_at = this->owner.loop.now();
-            }
-            const front_limits& limits = this->owner.options.limits;
-            switch (parse_request_head(this->input(), limits.max_header_bytes, this->head)) {
-            case parse_status::incomplete:
-                return;
-            case parse_status::malformed:
-                this->reject(status_bad_request);
-                return;
-            case parse_status::too_large:
-                this->reject(status_head_too_large);
-                return;
-            case parse_status::complete:
-                break;
-            }
-            if (this->head.framing == body_framing::length && this->head.content_length > limits.max_body_bytes) {
-                this->reject(status_body_too_large);
-                return;
-            }
-            h2o_buffer_consume(&this->socket->input, this->head.bytes);
-            this->reader = body_reader(this->head.framing, this->head.content_length, limits.max_body_bytes);
-            this->phase = connection_phase::body;
+    // Returns false when the head must wait, for bytes or for its turn.
+    bool read_head() {
+        bool has_room = this->open_requests.size() < max_open_requests;
+        if (this->input().empty() || !has_room || (this->owner.closing && !this->open_requests.empty())) {
+            this->awaits_turn = !this->input().empty();
+            return false;
+        }
+        if (!this->head_started) {
+            this->head_started = true;
             this->last_progress_at = this->owner.loop.now();
-            const std::string* expect = this->head.header("expect");
-            if (expect != nullptr && equals_ignore_case(*expect, "100-continue") && this->input().empty()) {
-                static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-                [[maybe_unused]] ssize_t sent = ::send(h2o_socket_get_fd(this->socket), interim.data(), interim.size(),
-                                                       MSG_NOSIGNAL | MSG_DONTWAIT);
-            }
         }
+        const front_limits& limits = this->owner.options.limits;
+        switch (parse_request_head(this->input(), limits.max_header_bytes, this->head)) {
+        case parse_status::incomplete:
+            return false;
+        case parse_status::malformed:
+            this->reject(status_bad_request);
+            return false;
+        case parse_status::too_large:
+            this->reject(status_head_too_large);
+            return false;
+        case parse_status::complete:
+            break;
+        }
+        this->awaits_turn = !this->open_requests.empty() && !this->may_overlap();
+        if (this->awaits_turn) {
+            return false;
+        }
+        if (this->head.framing == body_framing::length && this->head.content_length > limits.max_body_bytes) {
+            this->reject(status_body_too_large);
+            return false;
+        }
+        h2o_buffer_consume(&this->socket->input, this->head.bytes);
+        this->reader = body_reader(this->head.framing, this->head.content_length, limits.max_body_bytes);
+        this->phase = read_phase::body;
+        this->last_progress_at = this->owner.loop.now();
+        const std::string* expect = this->head.header("expect");
+        if (expect != nullptr && equals_ignore_case(*expect, "100-continue") && this->input().empty()) {
+            static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            [[maybe_unused]] ssize_t sent =
+                ::send(h2o_socket_get_fd(this->socket), interim.data(), interim.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        }
+        return true;
+    }
+
+    // A request behind an answer that closes the connection counts as not read, and its client sends it again. Only
+    // requests that may run twice are therefore passed on before their turn.
+    bool may_overlap() const {
+        return this->head.framing == body_framing::none && this->head.header("expect") == nullptr &&
+               this->owner.options.may_overlap && this->owner.options.may_overlap(this->head);
+    }
+
+    bool read_body() {
         std::size_t used = 0;
         parse_status status = this->reader.read(this->input(), used);
         if (used > 0) {
             h2o_buffer_consume(&this->socket->input, used);
             this->last_progress_at = this->owner.loop.now();
         }
-        this->set_buffered_bytes(this->reader.body().size());
-        if (status == parse_status::incomplete && this->owner.buffered_bytes > this->owner.options.max_buffered_bytes) {
-            this->reject(status_unavailable);
-        } else if (status == parse_status::malformed) {
+        this->count_buffered(this->reading_bytes, this->reader.body().size());
+        if (status == parse_status::complete) {
+            this->start_request();
+            return true;
+        }
+        if (status == parse_status::malformed) {
             this->reject(status_bad_request);
         } else if (status == parse_status::too_large) {
             this->reject(status_body_too_large);
-        } else if (status == parse_status::complete) {
-            this->start_request();
+        } else if (this->owner.buffered_bytes > this->owner.options.max_buffered_bytes) {
+            this->reject(status_unavailable);
         }
+        return false;
     }
 
     void start_request();
 
-    void set_buffered_bytes(std::size_t bytes) {
-        this->owner.buffered_bytes += bytes - this->own_buffered_bytes;
-        this->own_buffered_bytes = bytes;
+    void count_buffered(std::size_t& counted, std::size_t bytes) {
+        this->owner.buffered_bytes += bytes - counted;
+        counted = bytes;
+    }
+
+    open_request* find_unanswered(std::uint64_t serial) {
+        auto found = std::find_if(this->open_requests.begin(), this->open_requests.end(),
+                                  [&](const open_request& open) { return open.serial == serial && !open.answer; });
+        return found == this->open_requests.end() ? nullptr : &*found;
+    }
+
+    std::size_t answer_bytes() const {
+        std::size_t bytes = 0;
+        for (const open_request& open : this->open_requests) {
+            bytes += open.answer ? open.buffered_bytes : 0;
+        }
+        return bytes;
+    }
+
+    // ---- Answers ----
+
+    void set_answer(open_request& open, front_answer answer) {
+        --this->owner.requests;
+        open.disconnect_callback = nullptr;
+        this->count_buffered(open.buffered_bytes, answer.body.size());
+        open.answer = std::move(answer);
+        this->write_next();
+        this->owner.limit_buffers();
     }
 
+    // Answers what was read before, then with this status, and closes the connection.
     void reject(int status) {
         log_event("request_rejected", field("status", status), field("received_bytes", this->input().size()),
                   field("method", this->head.method), field("path", this->head.target));
-        this->close_after = true;
+        this->phase = read_phase::stopped;
+        this->count_buffered(this->reading_bytes, 0);
         h2o_buffer_consume(&this->socket->input, this->socket->input->size);
-        std::vector<http_header> headers;
+        front_answer answer{status, {}, ""};
         if (status == status_unavailable) {
-            headers.push_back({"retry-after", "0.5"});
+            answer.headers.push_back({"retry-after", "0.5"});
         }
-        this->write({status, std::move(headers), ""});
+        open_request& rejected = this->open_requests.emplace_back();
+        rejected.serial = ++this->last_serial;
+        rejected.is_head_request = this->head.method == "HEAD";
+        rejected.closes = true;
+        rejected.answer = std::move(answer);
+        this->write_next();
     }
 
-    void write(front_answer answer) {
-        this->close_after = this->close_after || this->owner.closing || !this->head.keep_alive;
+    void write_next() {
+        if (this->writing || this->open_requests.empty() || !this->open_requests.front().answer) {
+            return;
+        }
+        open_request& first = this->open_requests.front();
+        front_answer answer = std::move(*first.answer);
+        first.closes = first.closes || (this->owner.closing && this->open_requests.size() == 1);
+        if (first.closes) {
+            this->phase = read_phase::stopped;
+        }
         std::string& text = this->out_head;
         text.clear();
         text.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ");
@@ -204,14 +282,14 @@
         if (!has_length && answer.status != no_content && answer.status != not_modified) {
             text.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
         }
-        text.append(this->close_after ? "Connection: close\r\n\r\n" : "\r\n");
-        this->out_body = this->head.method == "HEAD" ? std::string() : std::move(answer.body);
+        text.append(first.closes ? "Connection: close\r\n\r\n" : "\r\n");
+        this->out_body = first.is_head_request ? std::string() : std::move(answer.body);
         if (this->out_body.size() <= max_coalesced_body_bytes) {
             text.append(this->out_body);
             this->out_body.clear();
         }
-        this->phase = connection_phase::writing;
-        this->last_progress_at = this->owner.loop.now();
+        this->writing = true;
+        this->write_started_at = this->owner.loop.now();
         h2o_iovec_t parts[2] = {h2o_iovec_init(text.data(), text.size()),
                                 h2o_iovec_init(this->out_body.data(), this->out_body.size())};
         h2o_socket_write(this->socket, parts, this->out_body.empty() ? 1 : 2,
@@ -226,41 +304,56 @@
     }
 
     void on_written() {
+        this->writing = false;
+        open_request written = std::move(this->open_requests.front());
+        this->open_requests.pop_front();
+        this->count_buffered(written.buffered_bytes, 0);
         this->last_progress_at = this->owner.loop.now();
-        this->head_started = false;
-        if (this->close_after) {
-            this->phase = connection_phase::lingering;
+        if (written.closes) {
+            this->phase = read_phase::lingering;
             ::shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
             h2o_buffer_consume(&this->socket->input, this->socket->input->size);
             this->start_reading();
             return;
         }
-        this->phase = connection_phase::head;
-        this->head = {};
+        this->write_next();
         this->start_reading();
-        this->read_request();
+        this->read_requests();
+    }
+
+    bool write_stalled(time_point now) const {
+        return this->writing && now - this->write_started_at > this->owner.options.limits.idle_timeout;
     }
 
-    void finish_request();
+    // ---- End ----
+
+    bool is_idle() const {
+        return this->phase == read_phase::head && !this->head_started && this->open_requests.empty();
+    }
 
     void close() {
-        if (std::exchange(this->phase, connection_phase::closed) == connection_phase::closed) {
+        if (std::exchange(this->phase, read_phase::closed) == read_phase::closed) {
             return;
         }
-        auto callback = std::exchange(this->disconnect_callback, nullptr);
-        this->finish_request();
+        std::vector<std::function<void()>> callbacks;
+        for (open_request& open : this->open_requests) {
+            this->count_buffered(open.buffered_bytes, 0);
+            this->owner.requests -= open.answer ? 0 : 1;
+            if (open.disconnect_callback) {
+                callbacks.push_back(std::move(open.disconnect_callback));
+            }
+        }
+        this->open_requests.clear();
+        this->count_buffered(this->reading_bytes, 0);
         h2o_socket_t* closed = std::exchange(this->socket, nullptr);
         h2o_socket_read_stop(closed);
         h2o_socket_close(closed);
         auto kept = this->shared_from_this();
         this->owner.connections.erase(this);
-        if (callback) {
+        for (const auto& callback : callbacks) {
             callback();
         }
     }
-
-    bool request_open = false;
-    bool head_started = false;
 };
 
 namespace {
@@ -285,38 +378,30 @@
 
 }  // namespace
 
-void front_server::impl::connection::finish_request() {
-    if (std::exchange(this->request_open, false)) {
-        --this->owner.requests;
-    }
-    this->set_buffered_bytes(0);
-}
-
 void front_server::impl::connection::start_request() {
-    this->phase = connection_phase::answering;
-    this->request_open = true;
+    open_request& added = this->open_requests.emplace_back();
+    added.serial = ++this->last_serial;
+    added.is_head_request = this->head.method == "HEAD";
+    added.closes = !this->head.keep_alive;
+    added.buffered_bytes = std::exchange(this->reading_bytes, 0);
     ++this->owner.requests;
-    std::uint64_t own_serial = ++this->request_serial;
+    this->phase = added.closes ? read_phase::stopped : read_phase::head;
+    this->head_started = false;
     std::weak_ptr<connection> weak = this->weak_from_this();
-    auto open = [weak, own_serial]() -> std::shared_ptr<connection> {
-        auto self = weak.lock();
-        bool same = self && self->request_serial == own_serial && self->phase == connection_phase::answering;
-        return same ? self : nullptr;
-    };
     auto exchange = std::make_shared<exchange_handle>(
-        [open](front_answer answer) {
-            if (auto self = open()) {
-                self->disconnect_callback = nullptr;
-                self->finish_request();
-                self->write(std::move(answer));
+        [weak, serial = added.serial](front_answer answer) {
+            auto self = weak.lock();
+            if (open_request* open = self ? self->find_unanswered(serial) : nullptr) {
+                self->set_answer(*open, std::move(answer));
             }
         },
-        [open](std::function<void()> callback) {
-            if (auto self = open()) {
-                self->disconnect_callback = std::move(callback);
+        [weak, serial = added.serial](std::function<void()> callback) {
+            auto self = weak.lock();
+            if (open_request* open = self ? self->find_unanswered(serial) : nullptr) {
+                open->disconnect_callback = std::move(callback);
             }
         });
-    this->owner.handler({this->head, std::move(this->reader.body())}, exchange);
+    this->owner.handler({std::exchange(this->head, {}), std::move(this->reader.body())}, exchange);
 }
 
 void front_server::impl::accept(h2o_socket_t* socket) {
@@ -333,13 +418,14 @@
     std::vector<std::shared_ptr<connection>> timed_out;
     for (const auto& [key, open] : this->connections) {
         duration age = now - open->last_progress_at;
-        bool ended = false;
-        if (open->phase == connection_phase::head) {
-            ended =
-                age > (open->head_started ? this->options.limits.header_timeout : this->options.limits.idle_timeout);
-        } else if (open->phase == connection_phase::body || open->phase == connection_phase::writing) {
-            ended = age > this->options.limits.idle_timeout;
-        } else if (open->phase == connection_phase::lingering) {
+        bool ended = open->write_stalled(now);
+        if (open->phase == read_phase::head && open->head_started) {
+            ended = ended || (!open->awaits_turn && age > this->options.limits.header_timeout);
+        } else if (open->phase == read_phase::head) {
+            ended = ended || (open->is_idle() && age > this->options.limits.idle_timeout);
+        } else if (open->phase == read_phase::body) {
+            ended = ended || age > this->options.limits.idle_timeout;
+        } else if (open->phase == read_phase::lingering) {
             ended = age > linger_timeout;
         }
         if (ended) {
@@ -347,9 +433,8 @@
         }
     }
     for (const auto& open : timed_out) {
-        bool incomplete =
-            open->phase == connection_phase::body || (open->phase == connection_phase::head && open->head_started);
-        if (incomplete) {
+        bool incomplete = open->phase == read_phase::body || (open->phase == read_phase::head && open->head_started);
+        if (incomplete && !open->write_stalled(now)) {
             open->reject(status_request_timeout);
         } else {
             open->close();
@@ -357,6 +442,25 @@
     }
 }
 
+// Clients that read slowly must not fill the memory: the one that most is held for is given up.
+void front_server::impl::limit_buffers() {
+    while (this->buffered_bytes > this->options.max_buffered_bytes) {
+        std::shared_ptr<connection> largest;
+        std::size_t most = 0;
+        for (const auto& [key, open] : this->connections) {
+            if (std::size_t bytes = open->answer_bytes(); bytes > most) {
+                most = bytes;
+                largest = open;
+            }
+        }
+        if (!largest) {
+            return;  // request bodies; they are refused when they are read
+        }
+        log_event("slow_client_closed", field("held_bytes", most), field("buffered_bytes", this->buffered_bytes));
+        largest->close();
+    }
+}
+
 front_server::front_server(event_loop& loop, const ip_address& address, const front_options& options,
                            front_handler handler)
     : state(std::make_unique<impl>(loop, options, std::move(handler))) {
@@ -381,7 +485,9 @@
     h2o_socket_close(this->state->listener);
     auto open = std::exchange(this->state->connections, {});
     for (const auto& [key, connection] : open) {
-        connection->disconnect_callback = nullptr;
+        for (auto& request : connection->open_requests) {
+            request.disconnect_callback = nullptr;
+        }
         connection->close();
     }
     this->state->handler = nullptr;
@@ -399,7 +505,7 @@
 void front_server::close_idle() {
     std::vector<std::shared_ptr<impl::connection>> idle;
     for (const auto& [key, open] : this->state->connections) {
-        if (open->phase == connection_phase::head && !open->head_started) {
+        if (open->is_idle()) {
             idle.push_back(open);
         }
     }
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -5,7 +5,9 @@
 //         exchange->respond({.status = 200, .body = "hello"});
 //     });
 //
-// Bodies are buffered completely, up to the limit. Pipelined requests of a connection are answered one after the other.
+// Bodies are buffered completely, up to the limit. A pipelined request is handled beside those before it when it may
+// run twice (`may_overlap`), and otherwise after their answers. Answers are written in the order of the requests. Load
+// pattern: clients that send a group of requests at once, whose time limits run from then on.
 
 #pragma once
 
@@ -33,8 +35,12 @@
 
 struct front_options {
     front_limits limits;
-    std::size_t max_connections = 2048;           // connections above it are answered with 503 and closed
-    std::size_t max_buffered_bytes = 64U << 20U;  // request bodies of all connections; requests above it get 503
+    std::size_t max_connections = 2048;  // connections above it are answered with 503 and closed
+    // Request bodies and answers of all connections. Above it requests get 503, and the client that most answers are
+    // held for is closed.
+    std::size_t max_buffered_bytes = 64U << 20U;
+    // Whether a request may be handled before its client has the answers to those before it. Empty: none may.
+    std::function<bool(const message_head&)> may_overlap = {};
 };
 
 struct front_request {
