Organisations with keys and rates; load reports of shared hosts; work learned by kind of request

Cause: deployments declare organisations, whose keys were passed on to targets, and their targets' load reports have a fourth figure, for which each report was dropped without a word. Change: items of kind organisation (keys, priority, regions, rate); requests get 401, 403 or 429, and targets the name of the organisation in place of the key. Rates hold over all gateways through credits that the leader grants (rate_credits.h). The speed of a target's host is estimated apart from its slowdown (host_speed.h), and work by kind of request with and without the object in the cache (work_model.h), only where targets state that speed. A load report that cannot be read is counted and logged.

--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -42,8 +42,10 @@
 #include <vector>
 
 #include "persimmongrade/clock.h"
+#include "persimmongrade/host_speed.h"
 #include "persimmongrade/region_share.h"
 #include "persimmongrade/sliding_window.h"
+#include "persimmongrade/work_model.h"
 
 namespace persimmongrade {
 
@@ -81,6 +83,7 @@
     request_id id = 0;
     std::string service;
     std::uint64_t object = 0;           // hash of the object; 0: none
+    std::uint64_t kind = 0;             // hash of the route: requests of one kind need about the same work
     unsigned priority = 0;              // 0 is the most urgent
     time_point aim_at{};                // soft deadline: an answer before it is worth most
     time_point deadline_at{};           // an answer after it is worth nothing
@@ -99,13 +102,6 @@
     too_late,   // waited until no answer before the deadline was possible
 };
 
-// Whether a target is expected to have the object of a request in its cache, which shortens the work.
-enum class object_state : std::uint8_t {
-    unknown,  // nothing indicates that the target has it
-    likely,   // the target ranks first for the object by rendezvous hash in its region
-    known,    // the target recently answered a request of this gateway for it
-};
-
 struct dispatch_action {
     request_id request = 0;
     std::string target;  // id of the target to send to; empty: refused
@@ -127,6 +123,8 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    // Time that work takes on the target's host at this moment, relative to the usual time. None: not stated.
+    std::optional<double> work_factor = {};
 };
 
 // Estimates on which the placement of requests of one service is based, for logs.
@@ -174,6 +172,8 @@
         object_state state;
         bool slot_was_free;
         bool isolated;
+        std::uint64_t kind;
+        double work_factor;  // of the target's host, estimated when the request was sent
     };
 
     // Load of the targets of one service in one region.
@@ -189,7 +189,8 @@
         region_load* region = nullptr;
         double other_load = 0;  // requests from other gateways at the target
         time_point other_load_at{};
-        double slowdown = 1;  // factor of its work on the mean of the service
+        double slowdown = 1;  // factor of its work on the mean of the service, apart from host_speed
+        host_speed speed;
         double failure_rate = 0;
         time_point health_updated_at{};  // when `slowdown` and `failure_rate` were last updated
         time_point held_off_until{};
@@ -235,6 +236,9 @@
     struct service_state {
         std::vector<target_state*> targets;
         work_times work;
+        // Once targets state the speed of hosts that they share; work is then learned by kind of request.
+        bool hosts_are_shared = false;
+        std::unordered_map<std::uint64_t, work_model> work_by_kind = {};
         region_share share;
         bool share_initialized = false;
         arrival_rate arrivals = {};
@@ -267,6 +271,7 @@
     using waiting_list = std::map<queue_key, dispatch_request>;
 
     service_state& service(const std::string& name);
+    static double expected_work(const service_state& state, std::uint64_t kind, object_state object);
     waiting_list::iterator erase_waiting(waiting_list::iterator entry);
     double load(const target_state& target, time_point now) const;  // requests at the target, from all gateways
     void initialize_share(service_state& state) const;
--- a/include/persimmongrade/gateway.h
+++ b/include/persimmongrade/gateway.h
@@ -35,6 +35,7 @@
     std::string rate_limit;       // answer header: requests per second that the target takes from all gateways
     std::string leaving;          // answer header: the target leaves, and wants no further requests
     std::string affinity_cookie;  // name of the cookie that identifies the object of a request, for sticky routing
+    std::string organisation;     // name of the caller's organisation, for targets; set by the gateway only
     std::optional<target_load_report> (*parse_load)(std::string_view) = nullptr;
 };
 
--- a/include/persimmongrade/item_store.h
+++ b/include/persimmongrade/item_store.h
@@ -1,6 +1,6 @@
-// Store of the configuration items that operators declare: routes, services and the limits for clients; and of the
-// evacuations and departures that bind gateways. Control processes use it for the state that is applied from the
-// replicated log, gateways for their copy of that state.
+// Store of the configuration items that operators declare: routes, services, organisations and the limits for clients;
+// and of the evacuations and departures that bind gateways. Control processes use it for the state that is applied from
+// the replicated log, gateways for their copy of that state.
 //
 //     item_store store;
 //     if (auto reason = store.problem(batch)) { refuse(*reason); }
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -208,11 +208,17 @@
 dispatcher::service_state& dispatcher::service(const std::string& name) {
     auto found = this->services.find(name);
     if (found == this->services.end()) {
-        found = this->services.emplace(name, service_state{{}, {}, region_share(this->options.shift), false}).first;
+        found = this->services.emplace(name, service_state{{}, {}, false, {}, region_share(this->options.shift), false})
+                    .first;
     }
     return found->second;
 }
 
+double dispatcher::expected_work(const service_state& state, std::uint64_t kind, object_state object) {
+    auto learned = state.hosts_are_shared ? state.work_by_kind.find(kind) : state.work_by_kind.end();
+    return learned == state.work_by_kind.end() ? state.work.expected(object) : learned->second.expected(object);
+}
+
 void dispatcher::set_target(const dispatch_target& target, time_point now) {
     auto found = this->targets.find(target.id);
     if (found != this->targets.end() && found->second->info.service != target.service) {
@@ -240,6 +246,7 @@
         state.other_load = 0;
         state.other_load_at = now;
         state.slowdown = 1;
+        state.speed = {};
         state.failure_rate = 0;
         state.unreachable_at.reset();
         state.held_off_until = {};
@@ -361,9 +368,9 @@
     } else if (request.object != 0 && rank == 0) {
         result.object = object_state::likely;  // other gateways send the object there
     }
-    double expected = work.expected(result.object);
+    double expected = expected_work(state, request.kind, result.object);
     double age = ms_between(target.health_updated_at, now);
-    double slowdown = decayed(target.slowdown, 1, age, health_half_life_ms);
+    double slowdown = decayed(target.slowdown, 1, age, health_half_life_ms) * target.speed.factor(now);
     double failures = decayed(target.failure_rate, 0, age, health_half_life_ms);
     double mean = work.mean();
     double excess_requests = this->load(target, now) + 1 - target.info.slots;
@@ -525,6 +532,10 @@
         // overdue until the first answers, and send each object to several targets that do not have it.
         state.work.prior_ms = std::max(0.0, ms_between(now, request.aim_at));
     }
+    work_model& kind = state.work_by_kind[request.kind];
+    if (!kind.is_initialized()) {
+        kind = work_model(std::max(0.0, ms_between(now, request.aim_at)));
+    }
     double remaining_ms = ms_between(now, request.deadline_at);
     bool any_usable = std::any_of(state.targets.begin(), state.targets.end(),
                                   [&](const target_state* target) { return this->usable(*target, request, now); });
@@ -641,7 +652,8 @@
         target.send_tokens -= target.info.send_rate ? 1 : 0;
         bool slot_is_free = this->load(target, now) < target.info.slots;
         state.local_sent += local ? 1 : 0;
-        target.sent[request.id] = {now, request.object, best.answer_ms, best.object, slot_is_free, request.isolated};
+        target.sent[request.id] = {now,          request.object,   best.answer_ms, best.object,
+                                   slot_is_free, request.isolated, request.kind,   target.speed.factor(now)};
         actions.push_back({request.id, target.info.id, refusal_cause::none, {}, best.answer_ms});
         entry = this->erase_waiting(entry);
     }
@@ -655,19 +667,29 @@
 void dispatcher::learn(service_state& state, target_state& target, const sent_request& sent, double took_ms,
                        time_point now) {
     double distance = target.info.region == this->options.region ? 0 : remote_round_trip_ms;
-    double took = std::max(1.0, took_ms - distance);
+    // The speed of the host is estimated by itself; otherwise a target whose host was slow for a moment would be
+    // avoided for seconds, and its cached objects would be worked out elsewhere.
+    double work_factor = (sent.work_factor + target.speed.factor(now)) / 2;
+    double took = std::max(1.0, (took_ms - distance) / work_factor);
     work_times& work = state.work;
     learn_work(work.mean_ms, work.mean(), took);
     target.region->half_life_ms = std::max(min_load_half_life_ms, work.mean_ms);
     if (sent.slot_was_free && now >= target.info.cold_until) {
         double& mean = work.mean_of(sent.state);
         learn_work(mean, work.expected(sent.state), took);
+        if (auto learned = state.work_by_kind.find(sent.kind); learned != state.work_by_kind.end()) {
+            learned->second.learn(sent.state, took);
+        }
         // Only for known objects, or without an object, is it certain how much work the request was; other answers say
         // nothing about the speed of the target.
         bool comparable = sent.state == object_state::known || sent.object == 0;
-        bool slow = took > slow_factor * work.expected(object_state::unknown);
+        double without_object = expected_work(state, sent.kind, object_state::unknown);
+        bool slow = took > slow_factor * without_object;
         if (comparable || slow) {
-            double ratio = took / (comparable ? mean : work.expected(object_state::unknown));
+            double usual = !comparable              ? without_object
+                           : state.hosts_are_shared ? expected_work(state, sent.kind, sent.state)
+                                                    : mean;
+            double ratio = took / usual;
             target.decay_health(now);
             target.slowdown =
                 std::clamp(target.slowdown + (ratio - target.slowdown) * slowdown_weight, min_slowdown, max_slowdown);
@@ -713,6 +735,10 @@
         if (load->slots > 0) {
             target.info.slots = load->slots;
         }
+        if (load->work_factor) {
+            target.speed.report(*load->work_factor, now);
+            state.hosts_are_shared = true;
+        }
     }
     if (result != dispatch_outcome::unreachable && result != dispatch_outcome::cancelled) {
         target.unreachable_at.reset();
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -286,6 +286,9 @@
     reader.optional("max_shift", settings.max_shift, 0, 1);
     reader.optional("memory_mb", settings.memory_mb, 32, 1048576);
     reader.optional("descriptors", settings.descriptors, 64, 10000000);
+    reader.optional("limit_window_ms", settings.limit_window_ms, 100, 600000);
+    reader.optional("limit_overshoot", settings.limit_overshoot, 0, 10);
+    reader.optional("limit_slack", settings.limit_slack, 0, 1000000);
 }
 
 wire::fleet_settings_t read_fleet(const std::string& file, mapping_reader& reader) {
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -14,9 +14,11 @@
 #include "persimmongrade/event_log.h"
 #include "persimmongrade/gateway_list.h"
 #include "persimmongrade/member_links.h"
+#include "persimmongrade/organisation_table.h"
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/random.h"
+#include "persimmongrade/rate_credits.h"
 #include "persimmongrade/report_stream.h"
 #include "persimmongrade/target_limits.h"
 #include "persimmongrade/target_registry.h"
@@ -106,6 +108,7 @@
     departure_batches departures_to_record;  // as the leader
     quarantine crashes;
     target_limits limits;
+    rate_credit_granter credits;
     consensus_driver<impl> log;
     peer_transport peers;
     member_addresses connected_members;
@@ -352,6 +355,8 @@
             this->on_departure_request(envelope.from, *request);
         } else if (const auto* reply = envelope.body.Asdeparture_reply()) {
             this->departures_asked.answer(reply->number, reply->recorded);
+        } else if (const auto* request = envelope.body.Ascredit_request()) {
+            this->on_credit_request(envelope.from, *request);
         } else if (const auto* request = envelope.body.Asjoin_request()) {
             this->handle_join_request(envelope.from, *request);
         } else if (const auto* reply = envelope.body.Asjoin_reply()) {
@@ -364,15 +369,20 @@
 
     // ---- Operator commands and committed entries ----
 
-    std::string leader_http_address() const {
+    std::string leader_peer_address() const {
         for (const auto& voter : this->log.voters().voters) {
             if (voter->id == this->log.leader_id()) {
-                return with_port(voter->address, this->http_port);
+                return voter->address;
             }
         }
         return {};
     }
 
+    std::string leader_http_address() const {
+        std::string address = this->leader_peer_address();
+        return address.empty() ? address : with_port(address, this->http_port);
+    }
+
     std::optional<command_result> not_leader_refusal() const {
         if (this->log.is_leader() && !this->is_stopping) {
             return std::nullopt;
@@ -464,6 +474,7 @@
     }
 
     void batch_applied() {
+        this->credits.set_limits(this->organisation_limits(), this->loop.now());
         for (auto& [id, session] : this->gateway_sessions) {
             this->send_items(id, session);
         }
@@ -476,6 +487,7 @@
 
     void install_state(const byte_string& bytes) {
         this->items.load(bytes);
+        this->credits.set_limits(this->organisation_limits(), this->loop.now());
         this->items.each_departure([this](const auto& departure) { this->merge_departure(departure); });
     }
     byte_string save_state() const { return this->items.snapshot(); }
@@ -486,6 +498,7 @@
                   field("term", this->log.term()));
         if (change == leadership_change::gained) {
             this->member_heard_at.clear();
+            this->credits.become_leader(this->log.term(), this->loop.now());
             return;
         }
         this->proposed_entry.reset();
@@ -495,6 +508,20 @@
         }
     }
 
+    // ---- Rates of organisations ----
+
+    rate_limits organisation_limits() const {
+        return limits_of_organisations(this->items, {ms(this->settings.limit_window_ms), this->settings.limit_overshoot,
+                                                     this->settings.limit_slack});
+    }
+
+    // Only a leader that a majority has confirmed answers: another one may have been elected.
+    void on_credit_request(const std::string& from, const wire::credit_request_t& request) {
+        if (this->log.is_leader() && this->log.can_serve_reads(this->loop.now())) {
+            this->peers.send(from, this->credits.answer(from, request, this->loop.now()));
+        }
+    }
+
     // ---- Departures ----
 
     void send_departure_requests() {
@@ -671,6 +698,7 @@
         if (this->log.is_leader()) {
             pong.silent = this->silent_voters();
         }
+        pong.leader = this->leader_peer_address();
         pong.gateways_version = this->serving_gateways.version();
         if (ping.takes_changes && ping.wants_items) {
             pong.changes = std::make_unique<wire::gateway_changes_t>(
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -13,13 +13,14 @@
 namespace {
 
 constexpr duration near_ping_interval = ms(300);
-constexpr duration far_ping_interval = ms(2400);    // to control processes that others are nearer to
-constexpr duration initial_ping_interval = ms(60);  // until a control process answers, which then sends items
-constexpr duration source_timeout = ms(500);        // two missed answers: changes must be in force within 2 s
-constexpr duration max_answer_age = ms(700);        // of a control process that becomes the source
-constexpr duration max_source_lag = ms(900);        // several hundred items are transferred faster over 5 Mbit/s
-constexpr duration source_return_delay = ms(3000);  // to one of the own region, after it answers again
-constexpr duration gateways_hold = ms(700);         // control processes tell a new source of their gateways meanwhile
+constexpr duration far_ping_interval = ms(2400);       // to control processes that others are nearer to
+constexpr duration credit_request_interval = ms(250);  // credits of a busy organisation last for about two seconds
+constexpr duration initial_ping_interval = ms(60);     // until a control process answers, which then sends items
+constexpr duration source_timeout = ms(500);           // two missed answers: changes must be in force within 2 s
+constexpr duration max_answer_age = ms(700);           // of a control process that becomes the source
+constexpr duration max_source_lag = ms(900);           // several hundred items are transferred faster over 5 Mbit/s
+constexpr duration source_return_delay = ms(3000);     // to one of the own region, after it answers again
+constexpr duration gateways_hold = ms(700);  // control processes tell a new source of their gateways meanwhile
 // Three missed answers: the connection may be dead without having been reset.
 constexpr duration control_timeout = ms(1000);
 constexpr std::size_t max_logged_targets = 8;      // of one message, by themselves
@@ -54,13 +55,14 @@
 control_link::control_link(event_loop& loop, const wire::fleet_settings_t& given, metric_registry& metrics,
                            const shared_state& state, std::function<void(const control_update&)> on_update)
     : loop(loop), settings(given), items(state.items), targets(state.targets), crashes(state.crashes),
-      limits(state.limits), on_update(std::move(on_update)),
+      limits(state.limits), credits(state.credits), on_update(std::move(on_update)),
       peers(
           loop, given.cluster, gateway_id(given), ip_address::parse(given.peer_address), metrics,
           [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peers),
       timers(loop) {
     this->set_seeds(given.seeds);
     this->timers.every(near_ping_interval, [this] { this->ping_peers(ping_scope::due); });
+    this->timers.every(credit_request_interval, [this] { this->request_credits(); });
     this->initial_ping_timer = this->timers.every(initial_ping_interval, [this] {
         if (this->source.empty()) {
             this->ping_peers(ping_scope::due);
@@ -292,10 +294,17 @@
             log_notice(*notice, envelope.from);
         }
         this->send_notices(outcome.decided);
+    } else if (const auto* grants = envelope.body.Ascredit_grants()) {
+        this->credits.receive(*grants, this->loop.now());
+        if (grants->wants_all) {
+            this->request_credits();
+        } else {
+            this->on_update({.credits_changed = true});
+        }
     } else if (const auto* limit = envelope.body.Astarget_limit()) {
         if (this->limits.merge(*limit, this->loop.now())) {
             log_limit(*limit, envelope.from);
-            this->on_update({false, {limit->target}});
+            this->on_update({.targets = {limit->target}});
         }
     }
 }
@@ -321,6 +330,12 @@
     this->send_news(limit);
 }
 
+void control_link::request_credits() {
+    if (!this->credits.empty() && !this->leader.empty()) {
+        this->peers.send(this->leader, this->credits.request(this->loop.now()));
+    }
+}
+
 // What does not reach a control process is sent with everything else when it answers again.
 template <typename News>
 void control_link::send_news(const News& news) {
@@ -368,6 +383,9 @@
     known.applied = pong.applied;
     known.has_leader = pong.has_leader;
     known.silent = pong.silent;
+    if (pong.has_leader && !pong.leader.empty()) {
+        this->leader = pong.leader;
+    }
     if (known.id != from || !known.is_reachable) {
         known.knows_news = false;
         this->news_received = this->news_received && pong.address != this->source;
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -29,6 +29,7 @@
 #include "persimmongrade/metrics.h"
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/quarantine.h"
+#include "persimmongrade/rate_credits.h"
 #include "persimmongrade/target_limits.h"
 #include "persimmongrade/target_registry.h"
 #include "settings_generated.h"
@@ -41,10 +42,12 @@
     target_registry& targets;
     quarantine& crashes;
     target_limits& limits;
+    rate_credit_holder& credits;
 };
 
 struct control_update {
     bool items_changed = false;
+    bool credits_changed = false;
     std::vector<std::string> targets;  // ids of targets with a newer report or limit
 };
 
@@ -58,6 +61,7 @@
     void send_notices(const std::vector<wire::quarantine_notice_t>& notices);
     void send_report(const wire::target_report_t& report);
     void send_limit(const wire::target_limit_t& limit);
+    void request_credits();  // also done several times per second, while there are limits
     void set_seeds(const std::vector<std::string>& http_addresses);
     // Largest count that a control process reported within gateway_count_hold; at least 1.
     unsigned gateways_in_region() const noexcept { return this->counted_gateways; }
@@ -119,12 +123,14 @@
     target_registry& targets;
     quarantine& crashes;
     target_limits& limits;
+    rate_credit_holder& credits;
     std::function<void(const control_update&)> on_update;
     std::set<std::string> seeds;                        // peer addresses
     std::map<std::string, control_peer> control_peers;  // by peer address
     std::map<std::string, std::string> address_by_id;   // peer address by process id
     bool serving = false;
     std::string source;  // peer address of a control process
+    std::string leader;  // peer address of the leader of the control processes, as last told
     time_point source_selected_at{};
     gateways_by_address known_gateways;
     bool news_received = false;  // the source has sent all that it knows
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 #include "persimmongrade/connect_probe.h"
 #include "persimmongrade/event_log.h"
 #include "persimmongrade/gateway_list.h"
+#include "persimmongrade/organisation_table.h"
 #include "persimmongrade/planned_stop.h"
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/retry_budget.h"
@@ -29,8 +30,11 @@
 namespace {
 
 constexpr int status_multiple_choices = 300;
+constexpr int status_unauthorized = 401;
+constexpr int status_forbidden = 403;
 constexpr int status_not_found = 404;
 constexpr int status_misdirected = 421;
+constexpr int status_too_many_requests = 429;
 constexpr int status_server_error = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -40,7 +44,10 @@
 constexpr duration answer_margin = ms(8);           // an answer must reach the client before the client's deadline
 constexpr duration state_refresh_interval = ms(500);
 constexpr duration estimates_log_interval = ms(2000);  // a few lines per second of all gateways, for 3 services
-constexpr duration default_retry_after = ms(300);      // before items are received, and when the dispatcher states none
+constexpr duration credit_wait = ms(150);              // round trip between regions, and the work of a busy leader
+constexpr duration credit_request_delay = ms(4);
+constexpr duration load_refused_log_interval = ms(10000);  // every answer may carry such a report
+constexpr duration default_retry_after = ms(300);  // before items are received, and when the dispatcher states none
 constexpr double hedge_factor = 3;  // multiple of the predicted time after which a hedge is sent to a second target
 constexpr double min_hedge_delay_ms = 120;  // shorter waits are within the variation of service time and network delay
 constexpr duration late_completion_grace = ms(400);  // for a target to finish after the route's deadline
@@ -48,7 +55,9 @@
 constexpr unsigned max_not_run_sends = 6;  // to targets that did not run the request; not counted as attempts
 constexpr unsigned success_log_interval = 64;
 constexpr duration probe_timeout = ms(250);  // a round trip between regions, and the end of a crashed process's sockets
-constexpr double cold_rate_fraction = 0.8;   // of the rate that a cold target bears: counts are spread over links
+constexpr const char* authorization_header = "authorization";
+const std::vector<std::string> no_regions;
+constexpr double cold_rate_fraction = 0.8;     // of the rate that a cold target bears: counts are spread over links
 constexpr duration max_hold_off = ms(600000);  // of a target's Retry-After
 constexpr double ms_per_second = 1000;
 constexpr double min_limited_rate = 0.5;      // requests per second; their answers tell when a target's limit has ended
@@ -128,6 +137,10 @@
         std::string route;
         std::uint64_t route_version = 0;
         std::string service;
+        std::string organisation;  // of the caller; empty: not identified
+        bool route_is_public = false;
+        bool holds_credit = false;  // of its organisation's rate, until it is sent
+        timer_id credit_timer = 0;  // set while it waits for one
         bool repeatable = false;
         unsigned max_attempts = 1;
         dispatch_request dispatch;
@@ -164,6 +177,10 @@
     quarantine crashes;
     target_limits limits;
     route_table routes;
+    organisation_table organisations;
+    rate_credit_holder credits{std::random_device{}()};
+    std::vector<request_id> waiting_for_credit;
+    timer_id credit_request_timer = 0;
     dispatcher request_dispatcher;
     target_client target_connections;
     control_link control;
@@ -182,6 +199,8 @@
     prometheus::Histogram& answer_seconds;
     prometheus::Histogram& wait_seconds;
     prometheus::Counter& retries;
+    prometheus::Counter& loads_refused;
+    time_point next_load_refused_log_at{};
     prometheus::Gauge& waiting_gauge;
     prometheus::Gauge& index_gauge;
     prometheus::Gauge& targets_gauge;
@@ -195,7 +214,7 @@
           request_dispatcher(
               {.region = given.region, .shift = {.max_shift = given.max_shift}, .random_seed = std::random_device{}()}),
           target_connections(loop, {.max_buffered_bytes = given.memory_mb * bytes_per_mb / 4}),
-          control(loop, given, metrics, {this->items, this->targets, this->crashes, this->limits},
+          control(loop, given, metrics, {this->items, this->targets, this->crashes, this->limits, this->credits},
                   [this](const control_update& update) { this->on_control_update(update); }),
           front(loop, ip_address::parse(given.front_address), front_options_of(given),
                 [this](front_request received, std::shared_ptr<front_exchange> exchange) {
@@ -207,6 +226,8 @@
           wait_seconds(metrics.histogram("persimmongrade_wait_seconds", "Time from a request to its first target.",
                                          {0.001, 0.01, 0.05, 0.1, 0.2, 0.5, 1, 5})),
           retries(metrics.counter("persimmongrade_retries_total", "Requests sent to a further target.")),
+          loads_refused(
+              metrics.counter("persimmongrade_load_reports_refused_total", "Load reports that could not be read.")),
           waiting_gauge(metrics.gauge("persimmongrade_waiting", "Requests that wait for a target.")),
           index_gauge(metrics.gauge("persimmongrade_applied_index", "Log index of the items in force.")),
           targets_gauge(metrics.gauge("persimmongrade_targets", "Targets known.")),
@@ -218,20 +239,76 @@
         loop.every(estimates_log_interval, [this] { this->log_estimates(); });
     }
 
-    static front_options front_options_of(const wire::fleet_settings_t& settings) {
+    front_options front_options_of(const wire::fleet_settings_t& settings) {
         front_options options;
+        options.may_overlap = [this](const message_head& head) { return this->may_run_twice(head); };
         options.max_connections = settings.descriptors / descriptors_per_connection;
         // Answers get as much. The remaining memory is for connections and buffers.
         options.max_buffered_bytes = settings.memory_mb * bytes_per_mb / 4;
         return options;
     }
 
+    bool may_run_twice(const message_head& head) const {
+        const struct route* found = this->route_of(head);
+        bool is_read = head.method == "GET" || head.method == "HEAD";
+        return is_read && found != nullptr && found->rule.kind == wire::request_kind::repeatable;
+    }
+
+    const struct route* route_of(const message_head& head) const {
+        const std::string* host = head.header("host");
+        std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
+        return this->routes.find(host == nullptr ? std::string_view() : *host, path);
+    }
+
+    // ---- Callers ----
+
+    access_decision access_of(const message_head& head, bool route_is_public) const {
+        std::optional<std::string_view> authorization;
+        for (const http_header& header : head.headers) {
+            if (equals_ignore_case(header.name, authorization_header)) {
+                if (authorization) {
+                    return this->organisations.decide(route_is_public, std::nullopt);  // ambiguous
+                }
+                authorization = header.value;
+            }
+        }
+        return this->organisations.decide(route_is_public, authorization);
+    }
+
+    // Requests that wait while their key is taken away, or moved to another organisation, must not be sent any more.
+    void end_revoked_requests() {
+        std::vector<request_id> revoked;
+        for (const auto& [id, entry] : this->requests) {
+            bool unsent = entry->in_flight_calls.empty() && entry->attempts == 0 && !entry->client_answered;
+            if (!unsent || entry->organisation.empty()) {
+                continue;
+            }
+            access_decision access = this->access_of(entry->received.head, entry->route_is_public);
+            if (access.caller == nullptr || access.caller->name != entry->organisation) {
+                revoked.push_back(id);
+            }
+        }
+        for (request_id id : revoked) {
+            auto found = this->requests.find(id);
+            if (found != this->requests.end()) {
+                this->reject_unauthorized(*found->second);
+            }
+        }
+    }
+
+    void reject_unauthorized(request& entry) {
+        this->end(entry, {status_unauthorized, {{"WWW-Authenticate", "Bearer"}}, ""}, "unknown_key");
+    }
+
     // ---- Updates from control processes ----
 
     void on_control_update(const control_update& update) {
         if (update.items_changed) {
             this->items_changed();
         }
+        if (update.credits_changed) {
+            this->retry_waiting_for_credit();
+        }
         for (const std::string& id : update.targets) {
             this->update_target(id);
         }
@@ -240,6 +317,16 @@
 
     void items_changed() {
         this->routes = route_table(this->items);
+        this->organisations = organisation_table(this->items);
+        bool had_limits = !this->credits.empty();
+        this->credits.set_limits(
+            limits_of_organisations(this->items, {ms(this->settings.limit_window_ms), this->settings.limit_overshoot,
+                                                  this->settings.limit_slack}),
+            this->loop.now());
+        if (!had_limits) {
+            this->control.request_credits();
+        }
+        this->end_revoked_requests();
         this->items.each([this](const wire::item_t& item) {
             if (item.kind == wire::item_kind::limits) {
                 this->front.set_limits({item.limits->max_header_bytes, item.limits->max_body_bytes,
@@ -401,14 +488,25 @@
             this->reject_unavailable(entry, "no_items", default_retry_after);
             return;
         }
-        const std::string* host = head.header("host");
-        std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
-        const struct route* found = this->routes.find(host == nullptr ? std::string_view() : *host, path);
+        const struct route* found = this->route_of(head);
         if (found == nullptr) {
             this->end(entry, {status_not_found, {}, ""}, "no_route");
             return;
         }
         const wire::route_rule_t& rule = found->rule;
+        entry.route_is_public = rule.is_public;
+        access_decision access = this->access_of(head, rule.is_public);
+        if (access.result == access_result::unknown_key) {
+            this->reject_unauthorized(entry);
+            return;
+        }
+        const organisation* caller = access.caller;
+        entry.organisation = caller == nullptr ? std::string() : caller->name;
+        auto regions = common_regions(rule.regions, caller == nullptr ? no_regions : caller->regions);
+        if (!regions) {
+            this->end(entry, {status_forbidden, {}, ""}, "no_common_region");
+            return;
+        }
         std::string_view cookie = cookie_value(head, this->header_names.affinity_cookie);
         std::uint64_t object = cookie.empty() ? 0 : hash_of(cookie, hash_of(found->name, 0));
         std::uint64_t spread = object != 0 ? hash_of(cookie, 1) : hash_of(entry.attempt, entry.id);
@@ -430,10 +528,11 @@
         entry.dispatch = {entry.id,
                           entry.service,
                           rule.sticky ? object : 0,
-                          rule.priority,
+                          hash_of(found->name, 0),
+                          caller != nullptr ? caller->priority.value_or(rule.priority) : rule.priority,
                           now + ms(rule.aim_ms),
                           entry.deadline,
-                          rule.regions,
+                          *std::move(regions),
                           {}};
         entry.deadline_timer = this->loop.after(entry.deadline - now, [this, id = entry.id] { this->on_deadline(id); });
         entry.exchange->on_client_disconnect([this, id = entry.id] { this->on_client_disconnect(id); });
@@ -443,12 +542,85 @@
             this->reject_unavailable(entry, "quarantined", quarantine_left);
             return;
         }
+        if (!entry.organisation.empty()) {
+            switch (this->credits.reserve(entry.organisation, now)) {
+            case credit_result::reserved:
+                entry.holds_credit = true;
+                break;
+            case credit_result::ask:
+                this->wait_for_credit(entry);
+                return;
+            case credit_result::refused:
+                this->reject_rate_limited(entry);
+                return;
+            }
+        }
+        this->dispatch(entry);
+    }
+
+    void dispatch(request& entry) {
         entry.dispatch.isolated =
             !this->crashes.empty() && this->crashes.crashed_target(entry.service, entry.fingerprint());
-        this->request_dispatcher.add(entry.dispatch, now);
+        this->request_dispatcher.add(entry.dispatch, this->loop.now());
         this->run_dispatcher();
     }
 
+    // ---- Rates of organisations ----
+
+    void reject_rate_limited(request& entry) {
+        duration retry_after = this->credits.retry_after(entry.organisation, this->loop.now());
+        this->end(entry, {status_too_many_requests, {{"Retry-After", seconds_text(retry_after)}}, ""}, "rate_limit");
+    }
+
+    // One round trip to the leader; its answer has the credit, or says that the limit is used up.
+    void wait_for_credit(request& entry) {
+        this->credits.wait(entry.organisation);
+        entry.credit_timer = this->loop.after(credit_wait, [this, id = entry.id] {
+            auto found = this->requests.find(id);
+            if (found != this->requests.end()) {
+                found->second->credit_timer = 0;
+                this->credits.stop_waiting(found->second->organisation);
+                this->reject_rate_limited(*found->second);
+            }
+        });
+        this->waiting_for_credit.push_back(entry.id);
+        if (this->credit_request_timer == 0) {  // those that arrive together ask together
+            this->credit_request_timer = this->loop.after(credit_request_delay, [this] {
+                this->credit_request_timer = 0;
+                this->control.request_credits();
+            });
+        }
+    }
+
+    void stop_waiting_for_credit(request& entry) {
+        if (entry.credit_timer != 0) {
+            this->loop.cancel(std::exchange(entry.credit_timer, 0));
+            this->credits.stop_waiting(entry.organisation);
+        }
+    }
+
+    void retry_waiting_for_credit() {
+        for (request_id id : std::exchange(this->waiting_for_credit, {})) {
+            auto found = this->requests.find(id);
+            if (found == this->requests.end() || found->second->credit_timer == 0) {
+                continue;
+            }
+            request& entry = *found->second;
+            credit_result result = this->credits.reserve(entry.organisation, this->loop.now());
+            if (result == credit_result::ask) {
+                this->waiting_for_credit.push_back(id);  // the answer was to an earlier request
+                continue;
+            }
+            this->stop_waiting_for_credit(entry);
+            if (result == credit_result::reserved) {
+                entry.holds_credit = true;
+                this->dispatch(entry);
+            } else {
+                this->reject_rate_limited(entry);
+            }
+        }
+    }
+
     duration quarantine_left(const request& entry, time_point now) const {
         return this->crashes.empty() ? duration::zero()
                                      : this->crashes.time_left(now, entry.service, entry.fingerprint());
@@ -479,6 +651,7 @@
 
     std::string request_text(const request& entry, const std::string& target, time_point now) const {
         const message_head& head = entry.received.head;
+        bool names_caller = !this->organisations.empty();
         constexpr std::size_t added_bytes = 160;
         std::string text;
         text.reserve(head.bytes + entry.received.body.size() + added_bytes);
@@ -488,6 +661,8 @@
                             equals_ignore_case(header.name, this->header_names.expected_target) ||
                             equals_ignore_case(header.name, "content-length") ||
                             equals_ignore_case(header.name, "expect");
+            replaced = replaced || (names_caller && (equals_ignore_case(header.name, authorization_header) ||
+                                                     equals_ignore_case(header.name, this->header_names.organisation)));
             if (!replaced && !is_hop_by_hop(head, header.name)) {
                 text.append(header.name).append(": ").append(header.value).append("\r\n");
             }
@@ -497,6 +672,9 @@
             entry.repeatable ? std::min(entry.client_deadline, entry.deadline + late_completion_grace) : entry.deadline;
         text.append(std::to_string(std::max<std::int64_t>(1, (until - now).count()))).append("\r\n");
         text.append(this->header_names.expected_target).append(": ").append(target).append("\r\n");
+        if (!entry.organisation.empty()) {
+            text.append(this->header_names.organisation).append(": ").append(entry.organisation).append("\r\n");
+        }
         bool states_length =
             !entry.received.body.empty() || head.method == "POST" || head.method == "PUT" || head.method == "PATCH";
         if (states_length) {
@@ -518,6 +696,9 @@
             this->fail_request(entry, "quarantined", quarantine_left);
             return;
         }
+        if (std::exchange(entry.holds_credit, false)) {
+            this->credits.spend(entry.organisation);
+        }
         if (entry.dispatch.excluded.empty()) {
             entry.first_sent_at = now;
             this->wait_seconds.Observe(static_cast<double>((now - entry.received_at).count()) / 1000.0);
@@ -586,6 +767,9 @@
             answer.status == target_call_status::answered ? head.header(this->header_names.load) : nullptr;
         if (load_text != nullptr) {
             load = this->header_names.parse_load(*load_text);
+            if (!load) {
+                this->on_load_refused(target, *load_text);
+            }
         }
         dispatch_outcome result = this->classify_answer(entry, answer);
         if (result == dispatch_outcome::lost && answer.status == target_call_status::answered) {
@@ -644,6 +828,18 @@
         this->run_dispatcher();
     }
 
+    // Without load reports, placement guesses the load of other gateways, so that a new format must not go unnoticed.
+    void on_load_refused(const std::string& target, const std::string& text) {
+        this->loads_refused.Increment();
+        time_point now = this->loop.now();
+        if (now < this->next_load_refused_log_at) {
+            return;
+        }
+        this->next_load_refused_log_at = now + load_refused_log_interval;
+        constexpr std::size_t max_logged_bytes = 64;
+        log_event("load_report_refused", field("target", target), field("value", text.substr(0, max_logged_bytes)));
+    }
+
     dispatch_outcome classify_answer(const request& entry, const target_answer& answer) const {
         if (answer.status == target_call_status::unreachable) {
             return dispatch_outcome::unreachable;
@@ -899,6 +1095,10 @@
         this->loop.cancel(entry.hedge_timer);
         this->request_dispatcher.cancel(entry.id);
         this->cancel_flights(entry);
+        this->stop_waiting_for_credit(entry);
+        if (std::exchange(entry.holds_credit, false)) {
+            this->credits.release(entry.organisation);
+        }
         this->record(entry, status, outcome, now);
         this->requests.erase(entry.id);
     }
@@ -920,10 +1120,10 @@
         const auto* known = this->targets.find(entry.target);
         log_event(
             success ? "request" : "request_failed", field("id", entry.attempt), field("route", entry.route),
-            field("route_version", entry.route_version), field("service", entry.service), field("outcome", outcome),
-            field("status", status), field("reason", entry.last_reason), field("target", entry.target),
-            field("attempts", entry.attempts), field("not_run", entry.not_run_sends),
-            field("took_ms", (now - entry.received_at).count()),
+            field("route_version", entry.route_version), field("service", entry.service),
+            field("organisation", entry.organisation), field("outcome", outcome), field("status", status),
+            field("reason", entry.last_reason), field("target", entry.target), field("attempts", entry.attempts),
+            field("not_run", entry.not_run_sends), field("took_ms", (now - entry.received_at).count()),
             field("waited_ms", entry.dispatch.excluded.empty() ? (now - entry.received_at).count()
                                                                : (entry.first_sent_at - entry.received_at).count()),
             field("predicted_ms", std::llround(entry.predicted_ms)), field("left_ms", (entry.deadline - now).count()),
--- a/src/inventory/item_store.cpp
+++ b/src/inventory/item_store.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <string_view>
+#include <unordered_map>
 
 namespace persimmongrade {
 
@@ -24,6 +26,40 @@
     return std::nullopt;
 }
 
+// A key identifies one organisation. The text must not name the key: it is a secret.
+std::optional<std::string> shared_key_problem(const std::map<item_key, const wire::item_t*>& effective,
+                                              const std::map<item_key, wire::item_t>& items) {
+    std::unordered_map<std::string_view, const std::string*> owners;
+    auto problem = [](const std::string& one, const std::string& other) {
+        return "organisations '" + one + "' and '" + other + "' have a key in common";
+    };
+    for (const auto& [key, item] : effective) {
+        if (!item->organisation || item->removed) {
+            continue;
+        }
+        for (const std::string& secret : item->organisation->keys) {
+            auto [owner, added] = owners.emplace(secret, &item->name);
+            if (!added) {
+                return problem(*owner->second, item->name);
+            }
+        }
+    }
+    if (owners.empty()) {
+        return std::nullopt;
+    }
+    for (const auto& [key, item] : items) {
+        if (!item.organisation || item.removed || effective.contains(key)) {
+            continue;
+        }
+        for (const std::string& secret : item.organisation->keys) {
+            if (auto owner = owners.find(secret); owner != owners.end()) {
+                return problem(item.name, *owner->second);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 }  // namespace
 
 // Only routes that would take effect must refer to existing services. A version that is not newer than the known one
@@ -80,6 +116,9 @@
             }
         }
     }
+    if (auto reason = shared_key_problem(effective, this->items)) {
+        return reason;
+    }
     if (!service_removed) {
         return std::nullopt;
     }
--- a/tests/admission/replay.h
+++ b/tests/admission/replay.h
@@ -218,6 +218,7 @@
             this->gateways[gateway]->add({id,
                                           "s",
                                           origin.object,
+                                          0,
                                           urgent ? 0U : 1U,
                                           this->now + ms(this->aim_ms),
                                           this->now + ms(this->deadline_ms),
--- a/tests/admission/test_dispatcher.cpp
+++ b/tests/admission/test_dispatcher.cpp
@@ -21,7 +21,7 @@
 }
 
 dispatch_request request_of(request_id id, std::uint64_t object = 0, unsigned priority = 1) {
-    return {id, "s", object, priority, start + ms(200), start + ms(1000), {}, {}};
+    return {id, "s", object, 0, priority, start + ms(200), start + ms(1000), {}, {}};
 }
 
 std::map<std::string, unsigned> sends_by_target(const std::vector<dispatch_action>& actions) {
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -119,13 +119,21 @@
     CHECK_THROWS_AS(parse_departure("i-1", "{"), message_error);
 }
 
-TEST_CASE("the load header contains three numbers") {
+// A load header that is refused leaves the gateway without knowledge of the other gateways' requests at the target.
+TEST_CASE("the load header contains three or four numbers") {
     auto load = header_names().parse_load("3,1,8");
     REQUIRE(load.has_value());
     CHECK(load->running == 3);
     CHECK(load->waiting == 1);
     CHECK(load->slots == 8);
-    for (const char* bad : {"", "3", "3,1", "3,1,8,9", "3,1,x", "a,b,c", "3, 1, 8"}) {
+    CHECK_FALSE(load->work_factor.has_value());
+    auto shared = header_names().parse_load("3,1,8,250");
+    REQUIRE(shared.has_value());
+    CHECK(shared->running == 3);
+    CHECK(shared->slots == 8);
+    CHECK(shared->work_factor == 2.5);
+    for (const char* bad : {"", "3", "3,1", "3,1,8,", "3,1,8,0", "3,1,8,x", "3,1,8,-1", "3,1,8,100001", "3,1,8,9,1",
+                            "3,1,x", "a,b,c", "3, 1, 8", "3,1,8,4294967296"}) {
         CHECK_FALSE(header_names().parse_load(bad).has_value());
     }
 }
