Queues and refusals are measured by kind of request where callers have ranks or hosts are shared

Change: predicted waits add up the work by kind of request; whether a request is late and whether it can still be answered follow its own kind. There, the load of the own region is compared with that of others by load reports of both, work is learned without the time in queues, and requests are sent to a target with a predicted queue of up to its mean work. Other deployments are served as before.

--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -150,6 +150,9 @@
     void set_target(const dispatch_target& target, time_point now);
     void remove_target(const std::string& id);
     void hold_off(const std::string& id, time_point until);  // the target wants no requests of this gateway until then
+    // Priorities come from callers, so that requests with very different work have the same one. Work and queues are
+    // then measured by kind of request, as they are where targets state the speed of their hosts.
+    void set_callers_have_ranks(bool have) { this->callers_have_ranks = have; }
     void set_region_gateway_count(unsigned in_region) { this->region_gateways = std::max(1U, in_region); }
 
     // Requests.
@@ -236,8 +239,7 @@
     struct service_state {
         std::vector<target_state*> targets;
         work_times work;
-        // Once targets state the speed of hosts that they share; work is then learned by kind of request.
-        bool hosts_are_shared = false;
+        bool hosts_are_shared = false;  // targets state the speed of their hosts
         std::unordered_map<std::uint64_t, work_model> work_by_kind = {};
         region_share share;
         bool share_initialized = false;
@@ -271,7 +273,10 @@
     using waiting_list = std::map<queue_key, dispatch_request>;
 
     service_state& service(const std::string& name);
-    static double expected_work(const service_state& state, std::uint64_t kind, object_state object);
+    bool by_kind(const service_state& state) const { return state.hosts_are_shared || this->callers_have_ranks; }
+    double expected_work(const service_state& state, std::uint64_t kind, object_state object) const;
+    double shortest_work(const service_state& state, std::uint64_t kind) const;
+    double queued_work(const service_state& state, const dispatch_request& request) const;
     waiting_list::iterator erase_waiting(waiting_list::iterator entry);
     double load(const target_state& target, time_point now) const;  // requests at the target, from all gateways
     void initialize_share(service_state& state) const;
@@ -294,6 +299,7 @@
     dispatcher_options options;
     std::mt19937_64 random;
     unsigned region_gateways = 1;
+    bool callers_have_ranks = false;
     std::unordered_map<std::string, std::unique_ptr<target_state>> targets;
     std::map<std::string, service_state> services;
     waiting_list queue;
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -45,7 +45,10 @@
 constexpr double saturated_utilization = 0.95;
 constexpr double fair_share_tolerance = 1.15;  // factor on the equal share, because the gateways' loads differ
 constexpr double max_target_wait_share = 0.3;  // longest wait in a target's own queue, relative to the mean work
-constexpr double send_burst_ms = 250;          // of a target's rate that may be sent at once, one request at least
+// On shared hosts the load of a target is less certain: requests that were held for a predicted queue were refused
+// while targets had free slots.
+constexpr double max_shared_target_wait_share = 1;
+constexpr double send_burst_ms = 250;  // of a target's rate that may be sent at once, one request at least
 // An unreachable target is tried again after this time, or as soon as it reports itself ready.
 constexpr duration initial_unreachable_backoff = ms(1500);
 constexpr duration max_unreachable_backoff = ms(4000);  // the backoff doubles with each further failure
@@ -214,11 +217,17 @@
     return found->second;
 }
 
-double dispatcher::expected_work(const service_state& state, std::uint64_t kind, object_state object) {
-    auto learned = state.hosts_are_shared ? state.work_by_kind.find(kind) : state.work_by_kind.end();
+double dispatcher::expected_work(const service_state& state, std::uint64_t kind, object_state object) const {
+    auto learned = this->by_kind(state) ? state.work_by_kind.find(kind) : state.work_by_kind.end();
     return learned == state.work_by_kind.end() ? state.work.expected(object) : learned->second.expected(object);
 }
 
+// Lower bound of the work; 0 before the first answer. Kinds that share a service may differ by a factor of 6, and a
+// bound of the service would refuse the shorter ones at once.
+double dispatcher::shortest_work(const service_state& state, std::uint64_t kind) const {
+    return this->by_kind(state) ? this->expected_work(state, kind, object_state::known) : state.work.shortest();
+}
+
 void dispatcher::set_target(const dispatch_target& target, time_point now) {
     auto found = this->targets.find(target.id);
     if (found != this->targets.end() && found->second->info.service != target.service) {
@@ -338,8 +347,9 @@
     // Load reports of targets lag. The own requests, scaled up to all gateways of the region, show an overload without
     // delay.
     double own_utilization = local_slots > 0 ? own_load * this->region_gateways / local_slots : no_slots_utilization;
-    state.local_utilization =
-        local_slots > 0 ? std::max(local_load / local_slots, own_utilization) : no_slots_utilization;
+    state.local_utilization = local_slots <= 0       ? no_slots_utilization
+                              : this->by_kind(state) ? local_load / local_slots
+                                                     : std::max(local_load / local_slots, own_utilization);
     state.remote_utilization = remote_slots > 0 ? remote_load / remote_slots : no_slots_utilization;
     state.share.update(now, state.local_utilization, state.remote_utilization);
 }
@@ -368,7 +378,7 @@
     } else if (request.object != 0 && rank == 0) {
         result.object = object_state::likely;  // other gateways send the object there
     }
-    double expected = expected_work(state, request.kind, result.object);
+    double expected = this->expected_work(state, request.kind, result.object);
     double age = ms_between(target.health_updated_at, now);
     double slowdown = decayed(target.slowdown, 1, age, health_half_life_ms) * target.speed.factor(now);
     double failures = decayed(target.failure_rate, 0, age, health_half_life_ms);
@@ -472,7 +482,7 @@
 
 dispatcher::queue_key dispatcher::key_of(const dispatch_request& request, const service_state& state,
                                          time_point now) const {
-    bool late = ms_between(now, request.aim_at) < state.work.expected(object_state::known);
+    bool late = ms_between(now, request.aim_at) < this->expected_work(state, request.kind, object_state::known);
     std::int64_t order =
         late ? -request.deadline_at.time_since_epoch().count()  // newest first: it has the most time left
              : request.aim_at.time_since_epoch().count();
@@ -495,11 +505,19 @@
     return slots > 0 ? state.work.mean() / slots : max_retry_after_ms;
 }
 
+// Work that a waiting request will take from the slots.
+double dispatcher::queued_work(const service_state& state, const dispatch_request& request) const {
+    return this->by_kind(state) ? this->expected_work(state, request.kind, object_state::likely) : state.work.mean();
+}
+
 // Predicted time until all requests ahead of `request` in the queue have been sent.
 double dispatcher::queue_wait_ms(const service_state& state, const dispatch_request& request, time_point now) const {
     auto first = this->queue.lower_bound(queue_key{.service = request.service});
     auto own = this->queue.lower_bound(this->key_of(request, state, now));
-    auto ahead = static_cast<double>(std::distance(first, own));
+    double ahead = 0;  // requests of the mean work
+    for (auto entry = first; entry != own; ++entry) {
+        ahead += this->queued_work(state, entry->second) / state.work.mean();
+    }
     return ahead == 0 ? 0 : ahead * this->ms_per_request(state, now);
 }
 
@@ -544,7 +562,7 @@
         this->refused_on_arrival.push_back(this->refuse(request, refusal_cause::no_target, wait_ms));
         return;
     }
-    double shortest_ms = state.work.shortest();
+    double shortest_ms = this->shortest_work(state, request.kind);
     double wait_ms = this->queue_wait_ms(state, request, now);
     if (wait_ms + shortest_ms > remaining_ms) {
         this->refused_on_arrival.push_back(this->refuse(request, refusal_cause::overload, wait_ms));
@@ -589,13 +607,13 @@
             ahead = 0;
         }
         bool late = entry->first.late;
-        double slack_ms = ms_between(now, request.deadline_at) - state.work.shortest();
+        double slack_ms = ms_between(now, request.deadline_at) - this->shortest_work(state, request.kind);
         // Late requests get the capacity that is left by requests that can still be answered within their aim.
         double late_share = std::max(min_late_share, 1 - certain_wait_share * state.arrivals.per_ms(now) * interval_ms);
         double wait_ms = ahead * interval_ms / (late ? late_share : 1);
         bool wait_exceeds_deadline = wait_ms * certain_wait_share > slack_ms && state.work.mean_ms > 0;
         if (slack_ms >= 0 && !wait_exceeds_deadline) {
-            ahead += 1;
+            ahead += this->queued_work(state, request) / state.work.mean();
             ++entry;
             continue;
         }
@@ -630,18 +648,20 @@
             continue;
         }
         candidate best = this->best_target(state, request, now);
+        double max_wait_share = this->by_kind(state) ? max_shared_target_wait_share : max_target_wait_share;
         double mean_ms = state.work.mean();
         if (request.drop_if_late && best.answer_ms > ms_between(now, request.deadline_at)) {
             entry = this->erase_waiting(entry);
             continue;
         }
         bool local = best.target != nullptr && best.target->info.region == this->options.region;
-        if (local && state.saturated &&
+        bool keeps_to_share = local && state.saturated && !this->by_kind(state);
+        if (keeps_to_share &&
             static_cast<double>(state.local_sent) >= fair_share_tolerance * state.fair_share_slots + 1) {
             ++entry;
             continue;
         }
-        if (best.target == nullptr || best.wait_ms > max_target_wait_share * mean_ms) {
+        if (best.target == nullptr || best.wait_ms > max_wait_share * mean_ms) {
             ++entry;
             continue;
         }
@@ -672,7 +692,9 @@
     double work_factor = (sent.work_factor + target.speed.factor(now)) / 2;
     double took = std::max(1.0, (took_ms - distance) / work_factor);
     work_times& work = state.work;
-    learn_work(work.mean_ms, work.mean(), took);
+    if (!this->by_kind(state) || sent.slot_was_free) {
+        learn_work(work.mean_ms, work.mean(), took);
+    }
     target.region->half_life_ms = std::max(min_load_half_life_ms, work.mean_ms);
     if (sent.slot_was_free && now >= target.info.cold_until) {
         double& mean = work.mean_of(sent.state);
@@ -683,12 +705,12 @@
         // Only for known objects, or without an object, is it certain how much work the request was; other answers say
         // nothing about the speed of the target.
         bool comparable = sent.state == object_state::known || sent.object == 0;
-        double without_object = expected_work(state, sent.kind, object_state::unknown);
+        double without_object = this->expected_work(state, sent.kind, object_state::unknown);
         bool slow = took > slow_factor * without_object;
         if (comparable || slow) {
-            double usual = !comparable              ? without_object
-                           : state.hosts_are_shared ? expected_work(state, sent.kind, sent.state)
-                                                    : mean;
+            double usual = !comparable            ? without_object
+                           : this->by_kind(state) ? this->expected_work(state, sent.kind, sent.state)
+                                                  : mean;
             double ratio = took / usual;
             target.decay_health(now);
             target.slowdown =
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -326,6 +326,7 @@
         if (!had_limits) {
             this->control.request_credits();
         }
+        this->request_dispatcher.set_callers_have_ranks(!this->organisations.empty());
         this->end_revoked_requests();
         this->items.each([this](const wire::item_t& item) {
             if (item.kind == wire::item_kind::limits) {
