Revoked requests are not sent again; an outdated item no longer hides a shared key; tests of organisations

Cause: a request that was at a target when its key was taken away was sent to a further target if the first one refused it, and a request that waited for a repetition was not ended either. item_store::problem() dropped an item of a call from its checks when the call also had an outdated version of it, so that a key of two organisations was accepted. Change: such a request ends with 401 instead of being repeated, and hedges of it are cancelled; a call that is in flight may still answer it. Outdated versions are skipped before they are compared with others of the same call. Other test programs were not run.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -139,6 +139,7 @@
         std::string service;
         std::string organisation;  // of the caller; empty: not identified
         bool route_is_public = false;
+        bool is_revoked = false;    // its key was taken away while it was at a target: no further target gets it
         bool holds_credit = false;  // of its organisation's rate, until it is sent
         timer_id credit_timer = 0;  // set while it waits for one
         bool repeatable = false;
@@ -275,17 +276,24 @@
         return this->organisations.decide(route_is_public, authorization);
     }
 
-    // Requests that wait while their key is taken away, or moved to another organisation, must not be sent any more.
+    // Requests whose key is taken away, or moved to another organisation, must not be sent any more: those that wait
+    // end now, and those at a target end with its answer, or with 401 where they would be sent again.
     void end_revoked_requests() {
         std::vector<request_id> revoked;
         for (const auto& [id, entry] : this->requests) {
-            bool unsent = entry->in_flight_calls.empty() && entry->attempts == 0 && !entry->client_answered;
-            if (!unsent || entry->organisation.empty()) {
+            if (entry->client_answered || entry->organisation.empty()) {
                 continue;
             }
             access_decision access = this->access_of(entry->received.head, entry->route_is_public);
-            if (access.caller == nullptr || access.caller->name != entry->organisation) {
+            if (access.caller != nullptr && access.caller->name == entry->organisation) {
+                continue;
+            }
+            if (entry->in_flight_calls.empty()) {
                 revoked.push_back(id);
+            } else {
+                entry->is_revoked = true;
+                this->loop.cancel(std::exchange(entry->hedge_timer, 0));
+                this->request_dispatcher.cancel(id);  // a hedge that waits for a target
             }
         }
         for (request_id id : revoked) {
@@ -991,6 +999,10 @@
         bool may_have_run = entry.attempts > 0;
         bool allowed = (entry.repeatable || !may_have_run) && entry.attempts < entry.max_attempts &&
                        entry.not_run_sends < max_not_run_sends && now < entry.deadline;
+        if (allowed && entry.is_revoked) {
+            this->reject_unauthorized(entry);
+            return;
+        }
         if (allowed && (!reached_target || this->budget(entry.service).take(now))) {
             this->retries.Increment();
             this->request_dispatcher.add(entry.dispatch, now);
--- a/src/inventory/item_store.cpp
+++ b/src/inventory/item_store.cpp
@@ -75,11 +75,11 @@
     for (const auto& item : batch.items) {
         item_key key{item->kind, item->name};
         auto held = this->items.find(key);
-        bool newer = held == this->items.end() || item->version > held->second.version;
+        if (held != this->items.end() && item->version <= held->second.version) {
+            continue;  // must not displace a newer version of the same item in this batch
+        }
         auto [place, first] = effective.emplace(key, item.get());
-        if (!newer) {
-            effective.erase(place);
-        } else if (!first && item->version > place->second->version) {
+        if (!first && item->version > place->second->version) {
             place->second = item.get();
         }
     }
--- a/tests/platform/test_wire.cpp
+++ b/tests/platform/test_wire.cpp
@@ -36,6 +36,25 @@
     return text.replace(place, from.size(), to);
 }
 
+const std::string full_organisation = R"({"upsert":{"tenants":{"acme":{"api-keys":["key-1","key-2"],"priority":3,
+"rate-per-s":12.5,"burst":40,"allowed-regions":["north"],"version":"r3","note":[1.50]}}}})";
+
+std::string organisation_call_with(const std::string& field, const nlohmann::json& value) {
+    auto call = nlohmann::json::parse(full_organisation);
+    call["upsert"]["tenants"]["acme"][field] = value;
+    return call.dump();
+}
+
+// Text of the error with which a call is refused; empty when it is accepted.
+std::string refusal_of(const std::string& call) {
+    try {
+        parse_items(call);
+        return "";
+    } catch (const message_error& reason) {
+        return reason.what();
+    }
+}
+
 }  // namespace
 
 TEST_CASE("items are decoded into the internal types") {
@@ -64,6 +83,77 @@
     CHECK(nlohmann::json::parse(render_items(store)) == sent);
 }
 
+// A field that is dropped or misread would leave an organisation without its keys, regions or limit.
+TEST_CASE("organisations are decoded, and returned as they were submitted") {
+    auto batch = parse_items(full_organisation);
+    REQUIRE(batch.items.size() == 1);
+    CHECK((batch.items[0]->name == "acme" && batch.items[0]->version == 3));
+    const wire::organisation_rule_t& rule = *batch.items[0]->organisation;
+    CHECK(rule.keys == std::vector<std::string>{"key-1", "key-2"});
+    CHECK(rule.regions == std::vector<std::string>{"north"});
+    CHECK((rule.has_priority && rule.priority == 3 && rule.rate == 12.5 && rule.burst == 40));
+    item_store store;
+    store.apply(batch, 1);
+    CHECK(nlohmann::json::parse(render_items(store))["tenants"] ==
+          nlohmann::json::parse(full_organisation)["upsert"]["tenants"]);
+    store.apply(parse_items(R"({"remove":{"tenants":[{"name":"acme","version":"r4"}]}})"), 2);
+    CHECK(store.find(wire::item_kind::organisation, "acme") == nullptr);
+    CHECK_FALSE(nlohmann::json::parse(render_items(store)).contains("tenants"));
+}
+
+// An organisation without a priority must not get priority 0, the most urgent.
+TEST_CASE("fields that an organisation omits or sets to null have defaults") {
+    for (const auto& item :
+         parse_items(R"({"upsert":{"tenants":{"a":{"api-keys":[],"version":"r1"},"b":{"priority":null,
+"rate-per-s":null,"burst":null,"allowed-regions":null,"api-keys":[],"version":"r1"}}}})")
+             .items) {
+        const wire::organisation_rule_t& rule = *item->organisation;
+        CHECK((rule.keys.empty() && rule.regions.empty() && !rule.has_priority && rule.rate == 0 && rule.burst == 0));
+    }
+    CHECK_FALSE(parse_items(first_call).items.at(2)->route->is_public);
+    CHECK(parse_items(with(R"("sticky":true)", R"("public":true)")).items.at(2)->route->is_public);
+}
+
+// An error text is sent to the caller and logged, so that it must not contain the secret that it is about.
+TEST_CASE("malformed organisations are rejected, and no error text contains a key") {
+    using nlohmann::json;
+    const std::string secret = "key-1";
+    std::vector<std::pair<std::string, json>> bad_fields = {
+        {"rate-per-s", -0.1}, {"rate-per-s", 1.1e9}, {"rate-per-s", "5"},         {"burst", -1},
+        {"burst", 1e300},     {"burst", true},       {"allowed-regions", "west"}, {"allowed-regions", {1}},
+        {"priority", -1},     {"priority", "1"},     {"priority", 4294967296},    {"version", 3}};
+    for (const char* keys :
+         {"null", "7", R"("key-1")", R"({"key-1":1})", R"(["key-1",7])", R"(["key-1",["key-1"]])", R"(["key-1",""])",
+          R"(["key-1","key-1"])", R"(["key-1 x"])", R"(["key-1\u0001"])", R"(["key-1\u007f"])", R"(["key-1\u00e9"])",
+          R"(["key-1\r\nTenant: x"])", R"(["key-1\u0000"])"}) {
+        bad_fields.emplace_back("api-keys", json::parse(keys));
+    }
+    bad_fields.emplace_back("api-keys", json::array({secret + std::string(1020, 'x')}));
+    std::vector<std::string> many(1, secret);
+    for (int i = 0; i < 10000; ++i) {
+        many.push_back(secret + "-" + std::to_string(i));
+    }
+    bad_fields.emplace_back("api-keys", many);
+    for (const auto& [field, value] : bad_fields) {
+        std::string reason = refusal_of(organisation_call_with(field, value));
+        INFO(field << ": " << reason);
+        CHECK(reason.starts_with("organisation 'acme'." + field));
+        CHECK(reason.find(secret) == std::string::npos);
+    }
+    many.pop_back();
+    CHECK(refusal_of(organisation_call_with("api-keys", many)).empty());
+    CHECK(refusal_of(organisation_call_with("api-keys", json::array({std::string(1024, 'x'), "!~"}))).empty());
+    CHECK(refusal_of(organisation_call_with("rate-per-s", 1e9)).empty());
+    for (const char* call : {R"({"upsert":{"tenants":["key-1"]}})", R"({"upsert":{"tenants":{"a":"key-1"}}})",
+                             R"({"upsert":{"tenants":{"a b":{"api-keys":["key-1"],"version":"r1"}}}})",
+                             R"({"upsert":{"tenants":{"":{"api-keys":["key-1"],"version":"r1"}}}})",
+                             R"({"upsert":{"tenants":{"a":{"api-keys":["key-1",1e999],"version":"r1"}}}})",
+                             R"({"remove":{"tenants":{"a":"key-1"}}})", R"({"remove":{"tenants":["key-1"]}})"}) {
+        CHECK_FALSE(refusal_of(call).empty());
+        CHECK(refusal_of(call).find(secret) == std::string::npos);
+    }
+}
+
 TEST_CASE("a malformed call is rejected, with the path of the field") {
     CHECK_THROWS_AS(parse_items(first_call.substr(0, first_call.size() - 9)), message_error);
     CHECK_THROWS_AS(parse_items("[]"), message_error);
