Refusals for the caller name the route; keys stay with the gateway after the last organisation is removed

Cause: two findings of the review. 401 and 403 were logged without their route, and a request that waited while the last organisation was removed would have passed its key on. Change: the route is set before the decision; a request of an organisation never passes its key on.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -503,6 +503,8 @@
             return;
         }
         const wire::route_rule_t& rule = found->rule;
+        entry.route = found->name;
+        entry.route_version = found->version;
         entry.route_is_public = rule.is_public;
         access_decision access = this->access_of(head, rule.is_public);
         if (access.result == access_result::unknown_key) {
@@ -519,8 +521,6 @@
         std::string_view cookie = cookie_value(head, this->header_names.affinity_cookie);
         std::uint64_t object = cookie.empty() ? 0 : hash_of(cookie, hash_of(found->name, 0));
         std::uint64_t spread = object != 0 ? hash_of(cookie, 1) : hash_of(entry.attempt, entry.id);
-        entry.route = found->name;
-        entry.route_version = found->version;
         entry.service = rule.parts[found->split.choose(spread)]->service;
         entry.repeatable = rule.kind == wire::request_kind::repeatable;
         entry.max_attempts = std::max(1U, rule.max_attempts);
@@ -660,7 +660,8 @@
 
     std::string request_text(const request& entry, const std::string& target, time_point now) const {
         const message_head& head = entry.received.head;
-        bool names_caller = !this->organisations.empty();
+        // Also after the last organisation has been removed: a key must not reach a target.
+        bool names_caller = !this->organisations.empty() || !entry.organisation.empty();
         constexpr std::size_t added_bytes = 160;
         std::string text;
         text.reserve(head.bytes + entry.received.body.size() + added_bytes);
