Responses with an invalid status are malformed on gateways and edges

Cause: picohttpparser accepts any three digits as a status. A gateway skipped 000 to 099 and 101 as interim answers and waited for a further one, and passed on 600 to 999 as answers. An edge passed on all of them. h2o's client also skipped interim answers without a limit.

Change: is_valid_response_status() allows 100 to 599 without 101, since no request asks for an upgrade. parse_response_head and http_client use it; such a call is lost, and its connection is closed instead of returned to the pool. http_client gives up after 16 interim answers, as gateways do. scripted_target moves to tests/support unchanged.

Measured: before the change, these failed: in test_gateway "an answer with an invalid status is reported as lost" and "a response status outside 100 to 599" (000, 001, 099, 101, 600, 999); in test_net "an answer with an invalid status ends its call as lost" (the same) and "interim answers without end are given up" (no end in 3 s). After it, test_gateway passed whole (23 cases) and test_net (31 cases, without [known-red]). The new case of test_edge passed with the change; it was not run without it. Non-digits and other lengths were malformed before.

Not run: the rest of test_edge, sanitizers.

--- a/include/persimmongrade/http.h
+++ b/include/persimmongrade/http.h
@@ -41,6 +41,10 @@
     auto operator<=>(const http_response&) const = default;
 };
 
+// Whether a response may have this status. 101 (Switching Protocols) is invalid too: no request of this project asks
+// for an upgrade, and the bytes after a 101 are not HTTP/1.1.
+bool is_valid_response_status(int status);
+
 http_response json_response(int status, std::string body);
 
 }  // namespace persimmongrade
--- a/include/persimmongrade/http_client.h
+++ b/include/persimmongrade/http_client.h
@@ -3,8 +3,8 @@
 //     call_id id = client.send(call, [](http_call_result result) { ... });
 //     client.cancel(id);  // closes the connection; the callback does not run
 //
-// The client sets no deadline: the caller cancels. A cancelled, cut, oversized or late call closes its connection,
-// so that no answer can reach another request.
+// The client sets no deadline: the caller cancels. Interim answers are skipped. A cancelled, malformed, cut, oversized
+// or late call closes its connection, so that no answer can reach another request.
 
 #pragma once
 
@@ -23,7 +23,7 @@
 enum class http_call_status : std::uint8_t {
     ok,                // a whole answer arrived
     connect_failed,    // no byte of the request was written
-    connection_lost,   // the request may have been written; no answer head arrived
+    connection_lost,   // the request may have been written; no valid answer head arrived
     answer_truncated,  // the answer ended early, or its end cannot be told
     answer_too_large,
 };
--- a/src/gateway/http_message.cpp
+++ b/src/gateway/http_message.cpp
@@ -212,7 +212,9 @@
         return status;
     }
     head.bytes = static_cast<std::size_t>(result);
-    if (!copy_headers(headers.data(), count, head) || !read_framing(head, false, minor_version)) {
+    // picohttpparser accepts any three digits as a status.
+    if (!is_valid_response_status(head.status) || !copy_headers(headers.data(), count, head) ||
+        !read_framing(head, false, minor_version)) {
         return parse_status::malformed;
     }
     bool bodiless = answers_head_request || head.status < first_final_status || head.status == status_no_content ||
--- a/src/gateway/http_message.h
+++ b/src/gateway/http_message.h
@@ -37,7 +37,8 @@
 bool is_hop_by_hop(const message_head& head, std::string_view name);
 
 // Parse the head at the beginning of `input`, which may hold more. `too_large`: the head exceeds `max_bytes`. For the
-// response to a HEAD request, `answers_head_request` tells that it has no body.
+// response to a HEAD request, `answers_head_request` tells that it has no body. A response with an invalid status (see
+// is_valid_response_status) is malformed.
 parse_status parse_request_head(std::string_view input, std::size_t max_bytes, message_head& head);
 parse_status parse_response_head(std::string_view input, std::size_t max_bytes, bool answers_head_request,
                                  message_head& head);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -66,6 +66,13 @@
     return find_header(this->headers, lower_case_name);
 }
 
+bool is_valid_response_status(int status) {
+    constexpr int lowest_status = 100;
+    constexpr int highest_status = 599;
+    constexpr int status_switching_protocols = 101;
+    return status >= lowest_status && status <= highest_status && status != status_switching_protocols;
+}
+
 http_response json_response(int status, std::string body) {
     return {status, {{"content-type", "application/json"}}, std::move(body)};
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -19,6 +19,7 @@
     2000;                                       // below the server's keep-alive time, so that reuse rarely races it
 constexpr std::uint64_t io_timeout_ms = 60000;  // last resort; callers cancel long before
 constexpr std::size_t max_head_bytes = 65536;   // of an answer
+constexpr std::size_t max_interim_answers = 16;
 constexpr duration head_check_interval = ms(5);
 
 bool has_known_length(const h2o_header_t* headers, std::size_t count) {
@@ -73,6 +74,7 @@
         h2o_iovec_t request_buffer{};
         http_response response;
         http_call_status status = http_call_status::ok;
+        std::size_t interim_answers = 0;
         bool head_received = false;
         bool written = false;
     };
@@ -170,6 +172,7 @@
             pending->owner->finish(pending, http_call_status::connect_failed);
             return nullptr;
         }
+        client->informational_cb = on_interim_head;
         pending->written = true;
         pending->request_text = serialize(pending->call);
         pending->request_buffer = h2o_iovec_init(pending->request_text.data(), pending->request_text.size());
@@ -179,6 +182,16 @@
         return on_head;
     }
 
+    // h2o skips interim answers without a limit. A result other than 0 makes it close the connection.
+    static int on_interim_head(h2o_http1client_t* client, int, int, h2o_iovec_t, h2o_header_t*, size_t) {
+        auto* pending = static_cast<pending_call*>(client->data);
+        if (++pending->interim_answers <= max_interim_answers) {
+            return 0;
+        }
+        pending->owner->finish(pending, http_call_status::connection_lost);
+        return -1;
+    }
+
     static h2o_http1client_body_cb on_head(h2o_http1client_t* client, const char* failure, int, int status, h2o_iovec_t,
                                            h2o_header_t* headers, size_t header_count, int) {
         auto* pending = static_cast<pending_call*>(client->data);
@@ -186,6 +199,12 @@
             pending->owner->finish(pending, http_call_status::connection_lost);
             return nullptr;
         }
+        if (!is_valid_response_status(status)) {
+            // Closed here, because h2o would return the connection to the pool after an answer without a body.
+            h2o_socket_close(h2o_http1client_steal_socket(client));
+            pending->owner->finish(pending, http_call_status::connection_lost);
+            return nullptr;
+        }
         pending->head_received = true;
         pending->response.status = status;
         pending->response.headers.reserve(header_count);
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -2,6 +2,7 @@
 // at-most-once execution and the planned stop.
 
 #include "../support/raw_connection.h"
+#include "../support/scripted_target.h"
 #include "edge_fixture.h"
 #include "persimmongrade/uuid.h"
 
@@ -237,6 +238,34 @@
     CHECK(edge.metric("persimmongrade_retries_total{reason=\"shed\"}") > 0);
 }
 
+// Guards against a status such as 000 reaching the client: the target's answer was passed on.
+TEST_CASE("an answer with an invalid status is repeated for an idempotent service, and ends a booking with 502") {
+    for (const char* status : {"000", "099", "101", "600", "999", "2x0"}) {
+        CAPTURE(status);
+        edge_fixture edge({"north", "central", "south"});
+        const std::string answer = std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n";
+        ip_address lookup_address = test_address(next_port());
+        scripted_target lookup(lookup_address, std::vector<std::string>(20, answer));
+        counting_target good(edge.loop);
+        // The target announced first is chosen first.
+        edge.announce("invalid", "lookups", lookup_address);
+        edge.announce("good", "lookups", good.address);
+        for (int i = 0; i < 6; ++i) {
+            CHECK(edge.call("GET", "/s/lookups/a").status == 200);
+        }
+        CHECK(good.executed == 6);
+        CHECK(lookup.requests > 0);
+        ip_address booking_address = test_address(next_port());
+        scripted_target booking(booking_address, {answer, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+        edge.announce("booking", "orders", booking_address);
+        std::string key = make_uuid_v7(unix_time_ms());
+        http_response booked = edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, "lamp");
+        CHECK(booked.status == 502);
+        CHECK(booked.body.find(R"("outcome":"unknown")") != std::string::npos);
+        CHECK(booking.requests == 1);
+    }
+}
+
 TEST_CASE("a lost result is reported as unknown and never run again; a late one is replayed") {
     edge_fixture edge({"north", "central", "south"});
     ip_address address = test_address(next_port());
--- a/tests/gateway/test_connections.cpp
+++ b/tests/gateway/test_connections.cpp
@@ -3,14 +3,11 @@
 
 #include <catch2/catch.hpp>
 
-#include <poll.h>
-
-#include <atomic>
 #include <sstream>
-#include <thread>
 
 #include "../support/endless_target.h"
 #include "../support/raw_connection.h"
+#include "../support/scripted_target.h"
 #include "front_server.h"
 #include "target_client.h"
 
@@ -18,88 +15,6 @@
 
 namespace {
 
-// Answers each request, on any connection, with the next of the given texts. A text that ends in `close_now` or
-// `reset_now` ends the connection accordingly; requests after the last text get `close_now`.
-
-class scripted_target {
-public:
-    static constexpr const char* close_now = "<close>";
-    static constexpr const char* reset_now = "<reset>";
-
-    scripted_target(const ip_address& address, std::vector<std::string> answers) : answers(std::move(answers)) {
-        this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        int on = 1;
-        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        sockaddr_storage storage{};
-        socklen_t size = address.to_sockaddr(storage);
-        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr*>(&storage), size) == 0);
-        REQUIRE(::listen(this->listener, 16) == 0);
-        this->worker = std::thread([this] { this->run(); });
-    }
-
-    ~scripted_target() {
-        this->stopping = true;
-        this->worker.join();
-        ::close(this->listener);
-    }
-
-    scripted_target(const scripted_target&) = delete;
-    scripted_target& operator=(const scripted_target&) = delete;
-
-    std::atomic<int> connections = 0;
-    std::atomic<int> requests = 0;
-
-private:
-    bool readable(int descriptor) const {
-        pollfd polled{descriptor, POLLIN, 0};
-        return ::poll(&polled, 1, 5) > 0;
-    }
-
-    void run() {
-        std::size_t next = 0;
-        while (!this->stopping) {
-            if (!this->readable(this->listener)) {
-                continue;
-            }
-            int descriptor = ::accept(this->listener, nullptr, nullptr);
-            ++this->connections;
-            std::string received;
-            bool open = true;
-            while (open && !this->stopping) {
-                if (!this->readable(descriptor)) {
-                    continue;
-                }
-                std::array<char, 4096> bytes{};
-                ssize_t size = ::recv(descriptor, bytes.data(), bytes.size(), 0);
-                if (size <= 0) {
-                    break;
-                }
-                received.append(bytes.data(), static_cast<std::size_t>(size));
-                if (received.find("\r\n\r\n") == std::string::npos) {
-                    continue;
-                }
-                received.clear();
-                ++this->requests;
-                std::string answer = next < this->answers.size() ? this->answers[next++] : close_now;
-                std::size_t ending = answer.find('<');
-                std::string text = answer.substr(0, ending);
-                [[maybe_unused]] ssize_t sent = ::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL);
-                open = ending == std::string::npos;
-                if (!open && answer.substr(ending) == reset_now) {
-                    linger abort{1, 0};
-                    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
-                }
-            }
-            ::close(descriptor);
-        }
-    }
-
-    std::vector<std::string> answers;
-    int listener = -1;
-    std::atomic<bool> stopping = false;
-    std::thread worker;
-};
-
 std::string answer_text(const std::string& attempt, const std::string& body) {
     return "HTTP/1.1 200 OK\r\nAttempt: " + attempt + "\r\nContent-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
@@ -176,6 +91,45 @@
     }
 }
 
+// Guards against status 000 reaching a client, or being skipped as an interim answer.
+TEST_CASE("an answer with an invalid status is reported as lost, and its connection is not reused") {
+    auto status = GENERATE(as<std::string>(), "000", "001", "099", "600", "999", "2x0", "-10", "20", "2000", "101");
+    const std::string head = "HTTP/1.1 " + status + " X\r\nAttempt: a\r\n";
+    const std::vector<std::string> answers = {
+        head + "Content-Length: 0\r\n\r\n",
+        head + "Content-Length: 2\r\n\r\nab",
+        head + "\r\n" + scripted_target::close_now,
+        head + "\r\n" + answer_text("a", "next"),
+        "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
+    };
+    std::size_t i = GENERATE(range(0, 5));
+    CAPTURE(answers[i]);
+    event_loop loop;
+    ip_address address = raw_connection::own_address(8660);
+    scripted_target target(address, {answers[i], answer_text("a", "whole")});
+    target_client client(loop, {});
+    CHECK(ask(loop, client, address, "a").status == target_call_status::lost);
+    CHECK(ask(loop, client, address, "a").body == "whole");
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("interim answers other than 101 are skipped, and the lowest and highest status are answered") {
+    event_loop loop;
+    std::uint16_t port = 8680;
+    for (const char* status : {"100", "102", "103", "199"}) {
+        CAPTURE(status);
+        ip_address address = raw_connection::own_address(port++);
+        scripted_target target(address, {std::string("HTTP/1.1 ") + status + " X\r\n\r\n" + answer_text("a", "final"),
+                                         "HTTP/1.1 599 X\r\nAttempt: a\r\nContent-Length: 4\r\n\r\nlast"});
+        target_client client(loop, {});
+        CHECK(ask(loop, client, address, "a").body == "final");
+        auto highest = ask(loop, client, address, "a");
+        CHECK(highest.status == target_call_status::answered);
+        CHECK(highest.head.status == 599);
+        CHECK(target.connections == 1);
+    }
+}
+
 // Reported by operators of similar systems: clients got a 200 with an empty or short body, framed as whole.
 TEST_CASE("an answer that ends early, at any byte, by a close or a reset, is never taken for a whole one") {
     struct framing {
--- a/tests/gateway/test_http_message.cpp
+++ b/tests/gateway/test_http_message.cpp
@@ -86,6 +86,30 @@
     CHECK(parse_response_head("not an answer\r\n\r\n", limit, false, head) == parse_status::malformed);
 }
 
+// Guards against status 000, which was parsed as a final answer without a body, or skipped as an interim one.
+TEST_CASE("a response status outside 100 to 599, without three digits, or 101 is malformed") {
+    message_head head;
+    auto status_of = [&](const std::string& status) {
+        return parse_response_head("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n", limit, false, head);
+    };
+    for (const char* status : {"000", "001", "099", "600", "999", "101"}) {
+        CAPTURE(status);
+        CHECK(status_of(status) == parse_status::malformed);
+    }
+    for (const char* status :
+         {"", "2", "20", "2000", "2x0", "x00", "20x", "-10", "+20", " 200", "2.0", "\xb2\xb0\xb0"}) {
+        CAPTURE(status);
+        CHECK(status_of(status) == parse_status::malformed);
+    }
+    for (int status = 100; status < 600; ++status) {
+        if (status != 101) {
+            CAPTURE(status);
+            CHECK(status_of(std::to_string(status)) == parse_status::complete);
+            CHECK(head.status == status);
+        }
+    }
+}
+
 TEST_CASE("a body is complete however its bytes arrive, and bytes after it are not consumed") {
     rc::prop("body", [] {
         auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
--- a/tests/net/test_net.cpp
+++ b/tests/net/test_net.cpp
@@ -9,6 +9,7 @@
 #include <array>
 
 #include "../support/endless_target.h"
+#include "../support/scripted_target.h"
 #include "persimmongrade/error.h"
 #include "persimmongrade/http_client.h"
 #include "persimmongrade/http_server.h"
@@ -132,6 +133,55 @@
     }
 }
 
+// Guards against status 000 or 101 reaching a caller, which an edge would pass on to its client.
+TEST_CASE("an answer with an invalid status ends its call as lost, and its connection is not reused") {
+    auto status = GENERATE(as<std::string>(), "000", "001", "099", "600", "999", "2x0", "-10", "20", "2000", "101");
+    const std::string head = "HTTP/1.1 " + status + " X\r\n";
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    const std::vector<std::string> answers = {
+        head + "Content-Length: 0\r\n\r\n",
+        head + "Content-Length: 2\r\n\r\nab",
+        head + "\r\n" + scripted_target::close_now,
+        head + "\r\n" + whole,
+        "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
+    };
+    std::size_t i = GENERATE(range(0, 5));
+    CAPTURE(answers[i]);
+    event_loop loop;
+    ip_address address = test_address(8070);
+    scripted_target target(address, {answers[i], whole});
+    http_client client(loop);
+    auto result = call_and_wait(loop, client, {address});
+    CHECK(result.status == http_call_status::connection_lost);
+    CHECK(result.response.headers.empty());
+    CHECK(call_and_wait(loop, client, {address}).response.body == "whole");
+    CHECK(target.connections == 2);
+}
+
+TEST_CASE("interim answers other than 101 are skipped, and the highest status is answered") {
+    event_loop loop;
+    std::uint16_t port = 8090;
+    for (const char* status : {"100", "102", "103", "199"}) {
+        CAPTURE(status);
+        ip_address address = test_address(port++);
+        scripted_target target(address, {std::string("HTTP/1.1 ") + status +
+                                         " X\r\n\r\nHTTP/1.1 599 X\r\nContent-Length: 5\r\n\r\nfinal"});
+        http_client client(loop);
+        auto result = call_and_wait(loop, client, {address});
+        CHECK(result.status == http_call_status::ok);
+        CHECK(result.response.status == 599);
+        CHECK(result.response.body == "final");
+    }
+}
+
+// Guards against reading interim answers until the caller cancels: h2o skips them without a limit.
+TEST_CASE("interim answers without end are given up") {
+    event_loop loop;
+    http_client client(loop);
+    endless_target target(test_address(8095), "", "HTTP/1.1 100 Continue\r\n\r\n");
+    CHECK(call_and_wait(loop, client, {test_address(8095)}).status == http_call_status::connection_lost);
+}
+
 TEST_CASE("a cancelled call never reports and tells the server") {
     event_loop loop;
     bool closed = false;
