Pipelined requests: faults in order, time limits, disconnects and reentrancy

Cause: a review of front_server.cpp found that a GET ran beside an open POST (RFC 9112, 9.3.2 allows only safe methods); that a head which once waited for room had no time limit, and that each answer extended the limit of a head behind it; that a client was not seen to leave while more than 65,536 bytes of it waited unread; that respond() could call the disconnect callbacks of other requests before it returned, through the check of the buffers; that 204 and 304 could be written with a body; and that a head above 65,536 bytes was never read completely, though its limit allowed it. Change: each is mended.

--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -1,6 +1,7 @@
 #include "front_server.h"
 
 #include <h2o.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 
 namespace {
 
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
 constexpr int status_bad_request = 400;
 constexpr int status_request_timeout = 408;
 constexpr int status_body_too_large = 413;
@@ -39,6 +42,10 @@
     closed,
 };
 
+bool is_safe_method(const std::string& method) {
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
 }  // namespace
 
 struct front_server::impl {
@@ -53,12 +60,14 @@
     std::size_t buffered_bytes = 0;  // request bodies until their answer, and answers until they are written
     bool closing = false;
     timer_id timeout_timer = 0;
+    timer_id buffer_timer = 0;  // set while the buffers are to be checked
 
     impl(event_loop& loop, const front_options& options, front_handler handler)
         : loop(loop), options(options), handler(std::move(handler)) {}
 
     void accept(h2o_socket_t* socket);
     void enforce_timeouts();
+    void schedule_buffer_check();
     void limit_buffers();
 };
 
@@ -68,6 +77,7 @@
     struct open_request {
         std::uint64_t serial = 0;
         bool is_head_request = false;
+        bool is_safe = true;  // its method changes nothing at the target
         bool closes = false;  // the connection ends after its answer
         std::size_t buffered_bytes = 0;
         std::function<void()> disconnect_callback;
@@ -82,7 +92,7 @@
     body_reader reader;
     std::size_t reading_bytes = 0;  // of its body
     bool head_started = false;
-    bool awaits_turn = false;  // the next request was received, and must not run beside those before it
+    bool awaits_turn = false;  // the next request, or the rest of it, is not read before an answer was written
     bool reading = false;
     std::uint64_t last_serial = 0;
     std::deque<open_request> open_requests;
@@ -128,8 +138,9 @@
         }
         if (this->phase == read_phase::lingering) {
             h2o_buffer_consume(&this->socket->input, this->socket->input->size);
-        } else if (this->phase != read_phase::closed && this->input().size() > max_pipelined_bytes) {
+        } else if (!this->open_requests.empty() && this->input().size() > max_pipelined_bytes) {
             this->stop_reading();  // until an answer has been written
+            this->awaits_turn = true;
         }
     }
 
@@ -140,6 +151,7 @@
             this->awaits_turn = !this->input().empty();
             return false;
         }
+        this->awaits_turn = false;
         if (!this->head_started) {
             this->head_started = true;
             this->last_progress_at = this->owner.loop.now();
@@ -179,9 +191,12 @@
     }
 
     // A request behind an answer that closes the connection counts as not read, and its client sends it again. Only
-    // requests that may run twice are therefore passed on before their turn.
+    // requests that may run twice are therefore passed on before their turn. They wait for the end of an unsafe
+    // request, whose effect the client expects them to see (RFC 9112, section 9.3.2).
     bool may_overlap() const {
-        return this->head.framing == body_framing::none && this->head.header("expect") == nullptr &&
+        bool unsafe_open = std::any_of(this->open_requests.begin(), this->open_requests.end(),
+                                       [](const open_request& open) { return !open.is_safe && !open.answer; });
+        return !unsafe_open && this->head.framing == body_framing::none && this->head.header("expect") == nullptr &&
                this->owner.options.may_overlap && this->owner.options.may_overlap(this->head);
     }
 
@@ -236,7 +251,7 @@
         this->count_buffered(open.buffered_bytes, answer.body.size());
         open.answer = std::move(answer);
         this->write_next();
-        this->owner.limit_buffers();
+        this->owner.schedule_buffer_check();
     }
 
     // Answers what was read before, then with this status, and closes the connection.
@@ -277,13 +292,12 @@
             has_length = has_length || equals_ignore_case(header.name, "content-length");
             text.append(header.name).append(": ").append(header.value).append("\r\n");
         }
-        constexpr int no_content = 204;
-        constexpr int not_modified = 304;
-        if (!has_length && answer.status != no_content && answer.status != not_modified) {
+        bool is_bodiless = answer.status == status_no_content || answer.status == status_not_modified;
+        if (!has_length && !is_bodiless) {
             text.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
         }
         text.append(first.closes ? "Connection: close\r\n\r\n" : "\r\n");
-        this->out_body = first.is_head_request ? std::string() : std::move(answer.body);
+        this->out_body = first.is_head_request || is_bodiless ? std::string() : std::move(answer.body);
         if (this->out_body.size() <= max_coalesced_body_bytes) {
             text.append(this->out_body);
             this->out_body.clear();
@@ -308,7 +322,10 @@
         open_request written = std::move(this->open_requests.front());
         this->open_requests.pop_front();
         this->count_buffered(written.buffered_bytes, 0);
-        this->last_progress_at = this->owner.loop.now();
+        // The time limit of a head that is being received runs on.
+        if (written.closes || !this->head_started || this->awaits_turn) {
+            this->last_progress_at = this->owner.loop.now();
+        }
         if (written.closes) {
             this->phase = read_phase::lingering;
             ::shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
@@ -327,6 +344,12 @@
 
     // ---- End ----
 
+    // While a connection is not read, its loss is not reported by the loop.
+    bool is_lost_unread() const {
+        pollfd polled{h2o_socket_get_fd(this->socket), POLLRDHUP, 0};
+        return !this->reading && ::poll(&polled, 1, 0) > 0;
+    }
+
     bool is_idle() const {
         return this->phase == read_phase::head && !this->head_started && this->open_requests.empty();
     }
@@ -382,6 +405,7 @@
     open_request& added = this->open_requests.emplace_back();
     added.serial = ++this->last_serial;
     added.is_head_request = this->head.method == "HEAD";
+    added.is_safe = is_safe_method(this->head.method);
     added.closes = !this->head.keep_alive;
     added.buffered_bytes = std::exchange(this->reading_bytes, 0);
     ++this->owner.requests;
@@ -416,7 +440,12 @@
 void front_server::impl::enforce_timeouts() {
     time_point now = this->loop.now();
     std::vector<std::shared_ptr<connection>> timed_out;
+    std::vector<std::shared_ptr<connection>> lost;
     for (const auto& [key, open] : this->connections) {
+        if (open->is_lost_unread()) {
+            lost.push_back(open);
+            continue;
+        }
         duration age = now - open->last_progress_at;
         bool ended = open->write_stalled(now);
         if (open->phase == read_phase::head && open->head_started) {
@@ -440,6 +469,19 @@
             open->close();
         }
     }
+    for (const auto& open : lost) {
+        open->close();
+    }
+}
+
+// Closing a connection calls its callbacks, which must not happen inside of a call of respond().
+void front_server::impl::schedule_buffer_check() {
+    if (this->buffered_bytes > this->options.max_buffered_bytes && this->buffer_timer == 0) {
+        this->buffer_timer = this->loop.after(duration::zero(), [this] {
+            this->buffer_timer = 0;
+            this->limit_buffers();
+        });
+    }
 }
 
 // Clients that read slowly must not fill the memory: the one that most is held for is given up.
@@ -481,6 +523,7 @@
 
 front_server::~front_server() {
     this->state->loop.cancel(this->state->timeout_timer);
+    this->state->loop.cancel(this->state->buffer_timer);
     h2o_socket_read_stop(this->state->listener);
     h2o_socket_close(this->state->listener);
     auto open = std::exchange(this->state->connections, {});
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -6,8 +6,9 @@
 //     });
 //
 // Bodies are buffered completely, up to the limit. A pipelined request is handled beside those before it when it may
-// run twice (`may_overlap`), and otherwise after their answers. Answers are written in the order of the requests. Load
-// pattern: clients that send a group of requests at once, whose time limits run from then on.
+// run twice (`may_overlap`) and their methods are safe, and otherwise after their answers. Answers are written in the
+// order of the requests. Load pattern: clients that send a group of requests at once, whose time limits run from then
+// on.
 
 #pragma once
 
@@ -58,7 +59,7 @@
 public:
     virtual ~front_exchange() = default;
     virtual void respond(front_answer answer) = 0;  // only the first call has an effect
-    // `callback` is called when the client disconnects before its answer.
+    // `callback` is called when the client disconnects before its answer, never inside of a call of respond().
     virtual void on_client_disconnect(std::function<void()> callback) = 0;
 };
 
@@ -73,7 +74,7 @@
     front_server& operator=(const front_server&) = delete;
 
     void set_limits(const front_limits& limits);
-    void close_after_answer();  // closes each connection after its next answer; idle connections stay open
+    void close_after_answer();  // closes each connection after its last open request; idle ones stay open
     void close_idle();          // closes connections without a request
     std::size_t open_connections() const;
     std::size_t open_requests() const;
