--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -109,6 +109,7 @@
     quarantine crashes;
     target_limits limits;
     rate_credit_granter credits;
+    bool limits_are_current = false;  // as the leader: every entry of earlier terms has been applied
     consensus_driver<impl> log;
     peer_transport peers;
     member_addresses connected_members;
@@ -475,6 +476,11 @@
 
     void batch_applied() {
         this->credits.set_limits(this->organisation_limits(), this->loop.now());
+        if (this->log.is_leader() && !this->limits_are_current) {
+            // Gateways may hold credits for limits that a leader learns from entries of earlier terms.
+            this->credits.become_leader(this->log.term(), this->loop.now());
+            this->limits_are_current = this->log.knows_all_commits();
+        }
         for (auto& [id, session] : this->gateway_sessions) {
             this->send_items(id, session);
         }
@@ -499,6 +505,7 @@
         if (change == leadership_change::gained) {
             this->member_heard_at.clear();
             this->credits.become_leader(this->log.term(), this->loop.now());
+            this->limits_are_current = false;
             return;
         }
         this->proposed_entry.reset();
--- a/tests/fleet/fleet_fixture.h
+++ b/tests/fleet/fleet_fixture.h
@@ -78,7 +78,8 @@
     stub_gateway(event_loop& loop, std::size_t host, std::size_t control_count = 3, const std::string& region = "north")
         : address(host_address(host, 7200)),
           link(loop, gateway_settings(host, control_count, region), this->metrics,
-               {this->items, this->targets, this->crashes, this->limits, this->credits}, [](const control_update&) {}) {}
+               {this->items, this->targets, this->crashes, this->limits, this->credits}, [](const control_update&) {}) {
+    }
 
     bool usable(const std::string& id) const {
         const auto* known = this->targets.find(id);
