Requests that wait keep their ranking of targets for 100 ms

Each poll, every 8 ms, ranked all targets again for each of up to 24 waiting requests. Change: where work is measured by kind, the ranking is kept for 100 ms or until targets change; each use still checks the target.

--- a/include/persimmongrade/dispatcher.h
+++ b/include/persimmongrade/dispatcher.h
@@ -238,6 +238,7 @@
 
     struct service_state {
         std::vector<target_state*> targets;
+        std::uint64_t targets_version = 1;  // rises when a target is added or removed, or turns cold
         work_times work;
         bool hosts_are_shared = false;  // targets state the speed of their hosts
         std::unordered_map<std::uint64_t, work_model> work_by_kind = {};
@@ -270,6 +271,14 @@
         object_state object = object_state::unknown;
     };
 
+    // Targets that a waiting request may be sent to.
+    struct candidate_list {
+        std::vector<target_state*> ranked;
+        std::vector<target_state*> cold;
+        std::uint64_t version = 0;  // targets_version of the service when it was made
+        time_point valid_until{};
+    };
+
     using waiting_list = std::map<queue_key, dispatch_request>;
 
     service_state& service(const std::string& name);
@@ -284,6 +293,7 @@
     bool usable(const target_state& target, const dispatch_request& request, time_point now) const;
     std::vector<target_state*> preferred_targets(const service_state& state, const dispatch_request& request,
                                                  bool remote, time_point now) const;
+    const candidate_list& candidates_of(const service_state& state, const dispatch_request& request, time_point now);
     candidate best_target(service_state& state, const dispatch_request& request, time_point now);
     double predict_answer_ms(const service_state& state, const target_state& target, const dispatch_request& request,
                              unsigned rank, time_point now, candidate& result) const;
@@ -304,6 +314,7 @@
     std::map<std::string, service_state> services;
     waiting_list queue;
     std::unordered_map<request_id, queue_key> queue_keys;
+    std::unordered_map<request_id, candidate_list> candidates;  // of waiting requests
     std::vector<dispatch_action> refused_on_arrival;
     time_point last_sweep_at{};
 };
--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -61,6 +61,7 @@
 constexpr double max_retry_after_ms = 2000;
 constexpr double no_target_retry_after_ms = 400;
 
+constexpr duration candidates_lifetime = ms(100);    // of the ranking of targets for a waiting request
 constexpr duration sweep_interval = ms(20);          // between checks of all waiting requests for refusal
 constexpr std::size_t max_placements_per_poll = 24;  // waiting requests of one service that a poll tries to place
 
@@ -211,8 +212,7 @@
 dispatcher::service_state& dispatcher::service(const std::string& name) {
     auto found = this->services.find(name);
     if (found == this->services.end()) {
-        found = this->services.emplace(name, service_state{{}, {}, false, {}, region_share(this->options.shift), false})
-                    .first;
+        found = this->services.emplace(name, service_state{.share = region_share(this->options.shift)}).first;
     }
     return found->second;
 }
@@ -248,8 +248,12 @@
         added->other_load_at = now;
         found = this->targets.emplace(target.id, std::move(added)).first;
         this->service(target.service).targets.push_back(found->second.get());
+        ++this->service(target.service).targets_version;
     }
     target_state& state = *found->second;
+    if (state.info.cold_until != target.cold_until) {
+        ++this->service(target.service).targets_version;
+    }
     if (state.info.started_at_ms != target.started_at_ms) {
         state.objects.clear();
         state.other_load = 0;
@@ -282,6 +286,7 @@
         state.local_sent -= std::min(state.local_sent, found->second->sent.size());
     }
     std::erase(state.targets, found->second.get());
+    ++state.targets_version;
     this->targets.erase(found);
 }
 
@@ -442,15 +447,40 @@
     return chosen;
 }
 
-dispatcher::candidate dispatcher::best_target(service_state& state, const dispatch_request& request, time_point now) {
+// Requests that wait are placed again at each poll. Ranking all targets for each of them took most of the processor
+// time of small hosts under overload, so that the ranking is kept for a short time.
+const dispatcher::candidate_list& dispatcher::candidates_of(const service_state& state, const dispatch_request& request,
+                                                            time_point now) {
+    candidate_list& list = this->candidates[request.id];
+    if (this->by_kind(state) && list.version == state.targets_version && now < list.valid_until) {
+        return list;
+    }
     std::uint64_t placement_hash = request.object != 0 ? request.object : mix_hash(request.id);
     bool remote = state.share.is_remote(mix_hash(placement_hash));
-    auto chosen = this->preferred_targets(state, request, remote, now);
-    if (chosen.empty()) {
-        chosen = this->preferred_targets(state, request, !remote, now);
+    list.ranked = this->preferred_targets(state, request, remote, now);
+    if (list.ranked.empty()) {
+        list.ranked = this->preferred_targets(state, request, !remote, now);
     }
+    // Targets in warm-up are candidates for every object within their quota, so that their caches fill.
+    list.cold.clear();
+    if (request.object != 0) {  // without an object, they are ranked already
+        std::copy_if(state.targets.begin(), state.targets.end(), std::back_inserter(list.cold),
+                     [&](const target_state* target) {
+                         return now < target->info.cold_until && this->usable(*target, request, now);
+                     });
+    }
+    list.version = state.targets_version;
+    list.valid_until = now + candidates_lifetime;
+    return list;
+}
+
+dispatcher::candidate dispatcher::best_target(service_state& state, const dispatch_request& request, time_point now) {
+    const candidate_list& list = this->candidates_of(state, request, now);
     candidate best;
     auto consider = [&](target_state* target, unsigned rank) {
+        if (!this->usable(*target, request, now)) {  // since the ranking
+            return;
+        }
         if (now < target->info.cold_until && target->cold_sends.count(now) >= target->info.cold_quota) {
             return;
         }
@@ -464,16 +494,11 @@
             best = considered;
         }
     };
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-        consider(chosen[i], static_cast<unsigned>(i));
+    for (std::size_t i = 0; i < list.ranked.size(); ++i) {
+        consider(list.ranked[i], static_cast<unsigned>(i));
     }
-    // Targets in warm-up are candidates for every object within their quota, so that their caches fill.
-    if (request.object != 0) {  // without an object, `chosen` contains them already
-        for (target_state* target : state.targets) {
-            if (now < target->info.cold_until && this->usable(*target, request, now)) {
-                consider(target, 1);
-            }
-        }
+    for (target_state* target : list.cold) {
+        consider(target, 1);
     }
     return best;
 }
@@ -585,6 +610,7 @@
 dispatcher::waiting_list::iterator dispatcher::erase_waiting(waiting_list::iterator entry) {
     --this->service(entry->second.service).waiting;
     this->queue_keys.erase(entry->second.id);
+    this->candidates.erase(entry->second.id);
     return this->queue.erase(entry);
 }
 
