Notices of crashes that an answer has cleared no longer travel among the processes for ever

A notice states the age of the loss, which seems shorter by each delay on the way: one that arrived after the answer counted as a new crash, was passed on, cleared and passed on again. Change: a process remembers for 30 s which crashes an answer has cleared; a crash at the same start of a target counts once.

--- a/include/persimmongrade/quarantine.h
+++ b/include/persimmongrade/quarantine.h
@@ -47,6 +47,10 @@
 inline constexpr duration region_failure_window = ms(2000);
 // Until every process has confirmed a crash and told the others: a probe, and a message over a control process.
 inline constexpr duration notice_settling_time = ms(500);
+// A notice of a crash states the age of the loss, which seems shorter by each delay on the way. Without a memory of
+// what was cleared, a notice that arrives after the answer counts as a new crash, and both travel among the processes
+// for ever. This is longer than any message waits in a queue.
+inline constexpr duration cleared_crash_retention = ms(30000);
 inline constexpr std::size_t region_failure_fingerprints = 3;  // that many lost in the window: the region may fail
 
 // Identifies the content of a request, whatever its id: the same for each attempt, also at other processes.
@@ -132,6 +136,7 @@
     std::map<fingerprint_key, quarantined_entry> entries;
     std::map<fingerprint_key, time_point>
         answered_at;  // of requests that had been suspected: older losses do not count
+    std::map<std::pair<fingerprint_key, std::string>, time_point> cleared_crashes;  // by request and target
 };
 
 }  // namespace persimmongrade
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -59,7 +59,10 @@
     bool confirmed = false;
     std::erase_if(this->losses, [&](const loss& entry) {
         bool cleared = entry.at <= until && entry.is_of(key);
-        confirmed = confirmed || (cleared && entry.confirmed);
+        if (cleared && entry.confirmed) {
+            confirmed = true;
+            this->cleared_crashes[{key, entry.request.target}] = until;
+        }
         return cleared;
     });
     return confirmed;
@@ -135,6 +138,7 @@
                     true};
         auto cleared = this->answered_at.find(key);
         bool known = (cleared != this->answered_at.end() && remote.at <= cleared->second) ||
+                     this->cleared_crashes.contains({key, remote.request.target}) ||
                      std::any_of(this->losses.begin(), this->losses.end(), [&](const loss& entry) {
                          return entry.confirmed && entry.is_of(key) && entry.request.target == remote.request.target;
                      });
@@ -152,6 +156,8 @@
 std::vector<wire::quarantine_notice_t> quarantine::tick(time_point now) {
     std::erase_if(this->entries, [now](const auto& entry) { return now >= entry.second.expires_at; });
     std::erase_if(this->answered_at, [now](const auto& entry) { return now - entry.second > quarantine_duration; });
+    std::erase_if(this->cleared_crashes,
+                  [now](const auto& entry) { return now - entry.second > cleared_crash_retention; });
     std::erase_if(this->losses, [now](const loss& entry) {
         return now - entry.at > (entry.confirmed ? quarantine_duration : crash_confirmation_time);
     });
--- a/tests/request/test_quarantine.cpp
+++ b/tests/request/test_quarantine.cpp
@@ -175,3 +175,24 @@
     late.target_down(processes.now + ms(10), "crew", "t2");
     CHECK(late.quarantined(processes.now + ms(10), "crew", 7));
 }
+
+// Guards against notices that travel among the processes for ever. A loss that is reported while many requests are in
+// flight at a target reaches a process over several paths; on a slow one it arrives after the answer that cleared it,
+// and looks younger than that. Each process passed both on, again and again, which filled links of 2.8 Mbit/s.
+TEST_CASE("a crash that an answer has cleared stays cleared when its notice arrives again later", "[quarantine]") {
+    quarantine first;
+    quarantine second;
+    first.connection_lost(start, {"crew", 7, "t1@5", "north"});
+    auto lost = first.target_down(start + ms(5), "crew", "t1@5");
+    REQUIRE(lost.size() == 1);
+    REQUIRE(second.receive(start + ms(50), lost.front()).changed);
+    auto answered = first.answered(start + ms(60), "crew", 7);
+    REQUIRE(answered.size() == 1);
+    REQUIRE(second.receive(start + ms(100), answered.front()).changed);
+    CHECK_FALSE(second.receive(start + ms(900), lost.front()).changed);
+    CHECK_FALSE(second.receive(start + ms(950), answered.front()).changed);
+    CHECK_FALSE(second.crashed_target("crew", 7));
+    auto other_start = lost.front();
+    other_start.targets.front() = "t1@9";  // the same request at a later start of the target
+    CHECK(second.receive(start + ms(1000), other_start).changed);
+}
