--- a/tests/admission/test_shared_hosts.cpp
+++ b/tests/admission/test_shared_hosts.cpp
@@ -88,6 +88,45 @@
     CHECK(hosts.send(77, now) == preferred);  // although the other target has free slots
 }
 
+// Load pattern: a burst of long requests at a service that short ones share, with the same priority. Guards against
+// short requests that are refused on arrival because each short one ahead counts as the mean work of the service.
+TEST_CASE("short requests are not refused for the mean work of the longer ones beside them") {
+    auto refused_of_short = [](bool by_kind) {
+        dispatcher placement({.region = "north"});
+        placement.set_callers_have_ranks(by_kind);
+        placement.set_target({"a", "s", "north", 4, 1, start, {}, 0}, start);
+        time_point now = start;
+        request_id id = 0;
+        auto add = [&](std::uint64_t kind, std::int64_t aim, std::int64_t deadline) {
+            placement.add({++id, "s", 0, kind, 1, now + ms(aim), now + ms(deadline), {}, {}}, now);
+            return id;
+        };
+        for (int i = 0; i < 60; ++i) {  // alone, so that the work is learned: 1,000 and 100 ms
+            bool is_short = i % 4 == 0;
+            request_id sent = is_short ? add(2, 250, 800) : add(1, 2500, 10000);
+            if (!placement.poll(now).empty()) {
+                now += ms(is_short ? 100 : 1000);
+                placement.finished(sent, "a", dispatch_outcome::answered, target_load_report{0, 0, 4}, now);
+            }
+            now += ms(50);
+        }
+        for (int i = 0; i < 40; ++i) {
+            add(1, 2500, 10000);
+        }
+        request_id first_short = id + 1;
+        for (int i = 0; i < 12; ++i) {
+            add(2, 250, 800);
+        }
+        std::size_t refused = 0;
+        for (const dispatch_action& action : placement.poll(now)) {
+            refused += action.target.empty() && action.request >= first_short ? 1 : 0;
+        }
+        return refused;
+    };
+    CHECK(refused_of_short(false) > 0);  // the former decision
+    CHECK(refused_of_short(true) == 0);
+}
+
 // Guards against other deployments being served differently: their load reports have three numbers.
 TEST_CASE("load reports without the speed of the host change no estimate by kind or by host") {
     shared_hosts plain;
