--- a/src/admission/dispatcher.cpp
+++ b/src/admission/dispatcher.cpp
@@ -447,8 +447,8 @@
     return chosen;
 }
 
-// Requests that wait are placed again at each poll. Ranking all targets for each of them took most of the processor
-// time of small hosts under overload, so that the ranking is kept for a short time.
+// Requests that wait are placed again at each poll. Ranking all targets for each of them grows with targets and waiting
+// requests, so that the ranking is kept for a short time.
 const dispatcher::candidate_list& dispatcher::candidates_of(const service_state& state, const dispatch_request& request,
                                                             time_point now) {
     candidate_list& list = this->candidates[request.id];
