--- a/review/8/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/big_answers review/8/record.txt
+exec target/review-2/frozen_voter review/7/record.txt
--- a/review/support-2/standin.h
+++ b/review/support-2/standin.h
@@ -315,7 +315,6 @@
         }
         // Only the first start of the whole system has `bootstrap: true`.
         for (std::size_t i = 0; i < options.cores; ++i) {
-            pause(milliseconds(1));
             this->processes.at("core-" + std::to_string(i)).later_settings = this->core_settings(i, false);
         }
         this->watcher = std::thread([this] { this->watch(); });
@@ -354,6 +353,43 @@
         this->record.line("platform: all processes " + prefix + "* are killed");
     }
 
+    // Stops a process with SIGSTOP, or lets it go on with SIGCONT.
+    void send_signal(const std::string& name, int number) {
+        std::lock_guard lock(this->mutex);
+        if (pid_t pid = this->processes.at(name).pid; pid > 0) {
+            ::kill(pid, number);
+        }
+        this->record.line("platform: " + name + (number == SIGSTOP ? " is frozen" : " wakes"));
+    }
+
+    // The machine is removed for good.
+    void remove(const std::string& name) {
+        std::lock_guard lock(this->mutex);
+        this->end(this->processes.at(name));
+        this->record.line("platform: " + name + " is gone for good");
+    }
+
+    // A further core machine at an address of its own, with an empty disk.
+    void add_core(std::size_t i) {
+        std::lock_guard lock(this->mutex);
+        std::string name = "core-" + std::to_string(i);
+        std::filesystem::create_directories(this->directory + "/" + name);
+        this->add(name, "persimmongrade-fleet", this->options.core_memory_mb, this->core_settings(i, false));
+        this->start(this->processes.at(name));
+        this->record.line("platform: " + name + " is added, at " + this->control(i).text());
+    }
+
+    // The machine loses power and its disk, and comes back at its address.
+    void lose_disk(const std::string& name, milliseconds down) {
+        std::lock_guard lock(this->mutex);
+        process& entry = this->processes.at(name);
+        this->end(entry);
+        std::filesystem::remove_all(this->directory + "/" + name);
+        std::filesystem::create_directories(this->directory + "/" + name);
+        entry.start_at = steady::now() + down;
+        this->record.line("platform: " + name + " loses its disk");
+    }
+
     // Ends by themselves: with memory over the limit, or an exit that nobody asked for.
     std::size_t own_ends(const std::string& prefix, std::size_t at_least) const {
         std::lock_guard lock(this->mutex);
@@ -466,6 +502,14 @@
         entry.start_at.reset();
     }
 
+    void end(process& entry) {
+        if (entry.pid > 0) {
+            ::kill(entry.pid, SIGKILL);
+            ::waitpid(entry.pid, nullptr, 0);
+            entry.pid = -1;
+        }
+    }
+
     static std::size_t anonymous_mb(pid_t pid) {
         std::ifstream status("/proc/" + std::to_string(pid) + "/status");
         std::string line;
@@ -545,7 +589,7 @@
                 auto answer = connection.call(to,
                                               method + " " + path + " HTTP/1.1\r\nHost: " + to.text() +
                                                   "\r\nContent-Type: application/json\r\n",
-                                              body, milliseconds(4000));
+                                              body, this->call_limit(body));
                 this->last_status = answer ? answer->status() : 0;
                 if (this->last_status == 200) {
                     return answer;
@@ -565,6 +609,12 @@
     int last_status = 0;  // of the last call; 0: no answer
 
 private:
+    // "a second without a response (more for large bodies)"
+    static milliseconds call_limit(const std::string& body) {
+        constexpr std::size_t large_body = 65536;
+        return milliseconds(body.size() > large_body ? 4000 : 1000);
+    }
+
     const platform& system;
     std::size_t next = 0;
 };
