--- a/review/support-2/standin.h
+++ b/review/support-2/standin.h
@@ -7,7 +7,7 @@
 //     operators.order("PATCH", "/api/config", body, std::chrono::seconds(30));
 //
 // The platform ends a process that uses more than its `memory-mb` and starts it again after a short delay (DEPLOY.md,
-// "Memory and descriptors" and "Ends"). Memory is RssAnon: what the process has allocated and touched.
+// "Memory and descriptors" and "Ends"). Memory is anonymous memory: what the process has allocated and touched.
 
 #pragma once
 
@@ -510,15 +510,21 @@
         }
     }
 
-    static std::size_t anonymous_mb(pid_t pid) {
+    // Anonymous memory at its peak since the start, which a look every few milliseconds could miss: VmHWM without the
+    // pages of files.
+    static std::pair<std::size_t, std::size_t> anonymous_mb(pid_t pid) {
         std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+        std::map<std::string, std::size_t> kilobytes;
         std::string line;
         while (std::getline(status, line)) {
-            if (line.starts_with("RssAnon:")) {
-                return std::strtoull(line.c_str() + 8, nullptr, 10) / 1024;
+            std::size_t colon = line.find(':');
+            if (colon != std::string::npos && (line.starts_with("Rss") || line.starts_with("VmHWM"))) {
+                kilobytes[line.substr(0, colon)] = std::strtoull(line.c_str() + colon + 1, nullptr, 10);
             }
         }
-        return 0;
+        std::size_t files = kilobytes["RssFile"] + kilobytes["RssShmem"];
+        std::size_t peak = kilobytes["VmHWM"] > files ? kilobytes["VmHWM"] - files : 0;
+        return {kilobytes["RssAnon"] / 1024, std::max(kilobytes["RssAnon"], peak) / 1024};
     }
 
     void watch() {
@@ -545,15 +551,16 @@
                     }
                     continue;
                 }
-                entry.memory_mb = anonymous_mb(entry.pid);
-                entry.peak_mb = std::max(entry.peak_mb, entry.memory_mb);
-                if (entry.memory_mb > entry.limit_mb) {
+                auto [memory_mb, peak_mb] = anonymous_mb(entry.pid);
+                entry.memory_mb = memory_mb;
+                entry.peak_mb = std::max(entry.peak_mb, peak_mb);
+                if (peak_mb > entry.limit_mb) {
                     ::kill(entry.pid, SIGKILL);
                     ::waitpid(entry.pid, nullptr, 0);
                     entry.pid = -1;
                     entry.start_at = steady::now() + restart_delay;
                     ++entry.own_ends;
-                    this->record.line("platform: " + name + " uses " + std::to_string(entry.memory_mb) +
+                    this->record.line("platform: " + name + " has used " + std::to_string(peak_mb) +
                                       " MB, more than its " + std::to_string(entry.limit_mb) +
                                       ": it is killed (own end " + std::to_string(entry.own_ends) + ")");
                 }
