An answer without a length that is reset while its request is written no longer reaches clients as a whole one

Callers saw: an upload that an upstream answered at once, with a 200 without a length, was answered with the part that had arrived before the upstream reset the connection, framed as whole. Cause: an answer without a length ends with its connection, and target_client took every end of file for that end. A write that fails takes the error of the socket, so that the next read returns an end of file instead of the reset. In h2o's poll the write comes first, and the read callback runs before the one of the write. Change: an end of file that comes before the write of the request is reported is judged after the poll, when a failed write has been reported and has ended the call as lost. Without a failed write the answer is whole, as before.

--- a/src/gateway/target_client.cpp
+++ b/src/gateway/target_client.cpp
@@ -26,6 +26,7 @@
     waiting_head,
     reading_body,
     finishing_write,  // answered before the event loop reported the write of the request as complete
+    ending,           // the answer and its connection ended before the write of the request was reported
     idle,
     closed,
 };
@@ -162,12 +163,28 @@
         bool whole = ended && this->phase == connection_phase::reading_body && !this->skipping_stale &&
                      this->answer.head.framing == body_framing::until_close;
         if (whole) {
-            this->finish(false);
+            this->finish_at_end();
             return;
         }
         this->fail(target_call_status::lost, ended ? "connection closed by the target" : "connection reset");
     }
 
+    // A write that fails takes a reset from the socket, and the next read then returns an end of file instead. Both
+    // happen in one poll, so that the failed write is reported before the timer runs.
+    void finish_at_end() {
+        if (this->written) {
+            this->finish(false);
+            return;
+        }
+        this->phase = connection_phase::ending;
+        h2o_socket_read_stop(this->socket);
+        this->owner.loop.after(duration::zero(), [self = this->shared_from_this()] {
+            if (self->phase == connection_phase::ending) {
+                self->finish(false);
+            }
+        });
+    }
+
     void advance() {
         while (this->phase == connection_phase::waiting_head || this->phase == connection_phase::reading_body) {
             if (this->phase == connection_phase::waiting_head && !this->read_head()) {
--- a/tests/gateway/test_connections.cpp
+++ b/tests/gateway/test_connections.cpp
@@ -30,9 +30,18 @@
     return call;
 }
 
-target_answer ask(event_loop& loop, target_client& client, const ip_address& address, const std::string& attempt) {
+// A call whose request doesn't fit into the buffers of the sockets.
+target_call upload_to(const ip_address& address, const std::string& attempt) {
+    constexpr std::size_t body_bytes = 32U << 20U;
+    target_call call = call_to(address, attempt);
+    call.text = "POST / HTTP/1.1\r\nHost: x\r\nAttempt: " + attempt +
+                "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'u');
+    return call;
+}
+
+target_answer ask(event_loop& loop, target_client& client, target_call call) {
     std::optional<target_answer> got;
-    client.send(call_to(address, attempt), [&](target_answer answer) {
+    client.send(std::move(call), [&](target_answer answer) {
         got = std::move(answer);
         loop.stop();
     });
@@ -41,6 +50,10 @@
     return std::move(*got);
 }
 
+target_answer ask(event_loop& loop, target_client& client, const ip_address& address, const std::string& attempt) {
+    return ask(loop, client, call_to(address, attempt));
+}
+
 }  // namespace
 
 // ---- Connections to targets ----
@@ -166,6 +179,41 @@
     }
 }
 
+// Clients got the part that had arrived as a whole answer: the failed write takes the reset from the socket, and the
+// read after it returns an end of file.
+TEST_CASE("an answer that is reset while its request is being written is lost") {
+    event_loop loop;
+    std::uint16_t port = 8720;
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a\r\n";
+    for (const std::string& part :
+         {std::string(), head, head + "\r\n", head + "\r\npart", head + "Content-Length: 5\r\n\r\npart",
+          head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
+        CAPTURE(part);
+        ip_address address = raw_connection::own_address(port++);
+        scripted_target target(address, {part + scripted_target::reset_later, answer_text("a", "whole")});
+        target_client client(loop, {});
+        CHECK(ask(loop, client, upload_to(address, "a")).status == target_call_status::lost);
+        CHECK(ask(loop, client, address, "a").body == "whole");
+        CHECK(target.connections == 2);
+    }
+}
+
+TEST_CASE("an answer that ends before its request is written is answered when it is whole") {
+    event_loop loop;
+    std::uint16_t port = 8730;
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a\r\n";
+    for (const std::string& text : {head + "\r\nwhole", head + "Content-Length: 5\r\n\r\nwhole",
+                                    head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
+        CAPTURE(text);
+        ip_address address = raw_connection::own_address(port++);
+        scripted_target target(address, {text + scripted_target::half_close});
+        target_client client(loop, {});
+        auto answer = ask(loop, client, upload_to(address, "a"));
+        CHECK(answer.status == target_call_status::answered);
+        CHECK(answer.body == "whole");
+    }
+}
+
 TEST_CASE("an answer without end is given up, in its head, its framing or its body") {
     event_loop loop;
     const std::string head = "HTTP/1.1 200 OK\r\n";
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <utility>
@@ -19,12 +20,14 @@
 
 namespace persimmongrade {
 
-// Answers each request, on any connection, with the next of the given texts. A text that ends in `close_now` or
-// `reset_now` ends the connection accordingly; requests after the last text get `close_now`.
+// Answers each request, on any connection, with the next of the given texts, as soon as its head is received. The
+// ending of a text ends the connection; requests after the last text get `close_now`.
 class scripted_target {
 public:
     static constexpr const char* close_now = "<close>";
     static constexpr const char* reset_now = "<reset>";
+    static constexpr const char* reset_later = "<reset later>";  // after the client has read the text
+    static constexpr const char* half_close = "<half close>";    // and read the rest of the request
 
     scripted_target(const ip_address& address, std::vector<std::string> answers) : answers(std::move(answers)) {
         this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -50,6 +53,28 @@
     std::atomic<int> requests = 0;
 
 private:
+    static void abort_on_close(int descriptor) {
+        linger abort{1, 0};
+        ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    }
+
+    // Returns whether the text had an ending.
+    bool end(int descriptor, const std::string& ending) const {
+        if (ending == reset_now) {
+            abort_on_close(descriptor);
+        } else if (ending == reset_later) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            abort_on_close(descriptor);
+        } else if (ending == half_close) {
+            ::shutdown(descriptor, SHUT_WR);
+            std::array<char, 65536> bytes;  // not initialized: it is only written
+            while (!this->stopping &&
+                   (!this->readable(descriptor) || ::recv(descriptor, bytes.data(), bytes.size(), 0) > 0)) {
+            }
+        }
+        return !ending.empty();
+    }
+
     bool readable(int descriptor) const {
         pollfd polled{descriptor, POLLIN, 0};
         return ::poll(&polled, 1, 5) > 0;
@@ -84,11 +109,7 @@
                 std::size_t ending = answer.find('<');
                 std::string text = answer.substr(0, ending);
                 [[maybe_unused]] ssize_t sent = ::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL);
-                open = ending == std::string::npos;
-                if (!open && answer.substr(ending) == reset_now) {
-                    linger abort{1, 0};
-                    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
-                }
+                open = !this->end(descriptor, ending == std::string::npos ? "" : answer.substr(ending));
             }
             ::close(descriptor);
         }
