--- a/tests/gateway/test_connections.cpp
+++ b/tests/gateway/test_connections.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "../support/endless_target.h"
+#include "../support/invalid_headers.h"
 #include "../support/raw_connection.h"
 #include "../support/scripted_target.h"
 #include "front_server.h"
@@ -214,6 +215,27 @@
     }
 }
 
+// Guards against such a line reaching a client, and against framing headers that are not recognized.
+TEST_CASE("an answer with an invalid header name is reported as lost, and its connection is not reused") {
+    const std::string line = GENERATE(from_range(invalid_header_lines()));
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a\r\n";
+    const std::vector<std::string> answers = {
+        head + line + "\r\nContent-Length: 5\r\n\r\nwrong",
+        head + "Content-Length: 5\r\n" + line + "\r\n\r\nwrong",
+        "HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n" + scripted_target::close_now,
+        "HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\n" + answer_text("a", "wrong"),
+    };
+    std::size_t i = GENERATE(range(0, 4));
+    CAPTURE(answers[i]);
+    event_loop loop;
+    ip_address address = raw_connection::own_address(8740);
+    scripted_target target(address, {answers[i], answer_text("a", "whole")});
+    target_client client(loop, {});
+    CHECK(ask(loop, client, address, "a").status == target_call_status::lost);
+    CHECK(ask(loop, client, address, "a").body == "whole");
+    CHECK(target.connections == 2);
+}
+
 TEST_CASE("an answer without end is given up, in its head, its framing or its body") {
     event_loop loop;
     const std::string head = "HTTP/1.1 200 OK\r\n";
--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -65,3 +65,16 @@
     CHECK(seen.status == 502);
     CHECK(seen.response.body.find("part") == std::string::npos);
 }
+
+// Operators of similar systems saw both.
+TEST_CASE("an answer with status 000 or an invalid header name does not reach the client") {
+    for (const std::string& text :
+         {"HTTP/1.1 000 None\r\nAttempt-Id: a\r\nServer-Seal: s\r\nContent-Length: 5\r\n\r\nwrong" +
+              std::string(scripted_target::reset_later),
+          head + "X A: b\r\nContent-Length: 5\r\n\r\nwrong" + scripted_target::reset_later}) {
+        CAPTURE(text);
+        auto seen = answer_through_gateway(text);
+        CHECK(seen.status == 502);
+        CHECK(seen.response.body.find("wrong") == std::string::npos);
+    }
+}
