--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -19,9 +19,9 @@
 #include <string>
 #include <vector>
 
-#include "http_message.h"
 #include "persimmongrade/address.h"
 #include "persimmongrade/event_loop.h"
+#include "persimmongrade/http_message.h"
 
 namespace persimmongrade {
 
--- a/src/gateway/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,4 +1,4 @@
-#include "http_message.h"
+#include "persimmongrade/http_message.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/gateway/test_http_message.cpp
+++ b/tests/net/test_http_message.cpp
@@ -6,7 +6,7 @@
 
 #include <sstream>
 
-#include "http_message.h"
+#include "persimmongrade/http_message.h"
 
 using namespace persimmongrade;
 
