persimmon-load bench counts broken answers as errors

Operators saw: a 200 without a length, cut after part of its body, counted as a request that was answered; so did a chunked answer that was reset, and answers with header names that no caller gets from a gateway or an edge. Cause: the tool had a reader of its own, which took an answer without a content-length as whole after its head. Change: it reads answers with http_message, and counts one without a length as an error, as http_client does. Status 000 and a cut body with a length counted as errors before; those checks stay.

--- a/src/load/http_bench.cpp
+++ b/src/load/http_bench.cpp
@@ -13,16 +13,17 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <chrono>
 #include <cstring>
 #include <deque>
 #include <iomanip>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 
 #include "persimmongrade/error.h"
+#include "persimmongrade/http_message.h"
 #include "quantile.h"
 
 namespace persimmongrade {
@@ -32,9 +33,10 @@
 using bench_clock = std::chrono::steady_clock;
 using bench_time = bench_clock::time_point;
 
-constexpr std::string_view header_end = "\r\n\r\n";
-constexpr std::string_view success_line = "HTTP/1.1 200";
-constexpr std::string_view length_header = "content-length:";
+constexpr int status_ok = 200;
+constexpr int first_final_status = 200;
+constexpr std::size_t max_head_bytes = 65536;  // of an answer
+constexpr std::size_t max_body_bytes = 64U << 20U;
 constexpr int poll_wait_ms = 100;  // the length of a run is checked this often
 constexpr double us_per_second = 1e6;
 
@@ -59,6 +61,7 @@
         this->waiting = true;
         this->intended = intended_start;
         this->received.clear();
+        this->reader.reset();
         // Requests are far smaller than a socket buffer. A failure shows as the end of the stream.
         [[maybe_unused]] ssize_t sent = ::send(this->descriptor, request.data(), request.size(), MSG_NOSIGNAL);
     }
@@ -71,17 +74,14 @@
         if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
             return progress::incomplete;
         }
-        if (size <= 0) {
-            this->waiting = false;
-            return progress::lost;
-        }
-        this->received.append(bytes.data(), static_cast<std::size_t>(size));
-        std::size_t head = this->received.find(header_end);
-        if (head == std::string::npos || this->received.size() < head + header_end.size() + this->body_length(head)) {
-            return progress::incomplete;
+        if (size > 0 && this->waiting) {
+            this->received.append(bytes.data(), static_cast<std::size_t>(size));
+            progress reached = this->read_answer();
+            this->waiting = reached == progress::incomplete;
+            return reached;
         }
-        this->waiting = false;
-        return this->received.starts_with(success_line) ? progress::answered : progress::refused;
+        this->waiting = false;  // closed, or bytes that belong to no request
+        return progress::lost;
     }
 
     void reopen() {
@@ -101,23 +101,40 @@
         ::setsockopt(this->descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     }
 
-    std::size_t body_length(std::size_t head) const {
-        auto same = [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; };
-        auto end = this->received.begin() + static_cast<std::ptrdiff_t>(head);
-        auto at = std::search(this->received.begin(), end, length_header.begin(), length_header.end(), same);
-        std::size_t length = 0;
-        if (at != end) {
-            const char* digits = std::to_address(at) + length_header.size();
-            std::from_chars(digits + (*digits == ' ' ? 1 : 0), std::to_address(end), length);
+    // An answer without a length counts as lost: a cut one looks like a whole one.
+    progress read_answer() {
+        while (!this->reader) {
+            parse_status status = parse_response_head(this->received, max_head_bytes, false, this->head);
+            if (status == parse_status::incomplete) {
+                return progress::incomplete;
+            }
+            if (status != parse_status::complete || this->head.framing == body_framing::until_close) {
+                return progress::lost;
+            }
+            this->received.erase(0, this->head.bytes);
+            if (this->head.status >= first_final_status) {
+                this->reader.emplace(this->head.framing, this->head.content_length, max_body_bytes);
+            }
+        }
+        std::size_t used = 0;
+        parse_status status = this->reader->read(this->received, used);
+        this->received.erase(0, used);
+        if (status == parse_status::incomplete) {
+            return progress::incomplete;
+        }
+        if (status != parse_status::complete) {
+            return progress::lost;
         }
-        return length;
+        return this->head.status == status_ok ? progress::answered : progress::refused;
     }
 
     ip_address address;
     int descriptor = -1;
     bool waiting = false;
     bench_time intended;
-    std::string received;
+    std::string received;  // and not read yet
+    message_head head;
+    std::optional<body_reader> reader;  // once the head is read
 };
 
 // ---- One run of a case ----
--- a/tests/load/test_bench.cpp
+++ b/tests/load/test_bench.cpp
@@ -4,6 +4,7 @@
 
 #include <thread>
 
+#include "../support/scripted_target.h"
 #include "persimmongrade/http_bench.h"
 #include "persimmongrade/http_server.h"
 
@@ -64,6 +65,41 @@
     CHECK(render_json(fixed).find("\"p99.9\"") != std::string::npos);
 }
 
+// Cut answers without a length, and answers to which a gateway or an edge gives no caller, counted as successes.
+TEST_CASE("a measurement counts broken answers as errors") {
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> answers = {
+        head + "\r\npart" + scripted_target::reset_later,
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" + scripted_target::reset_now,
+        head + "Content-Length: 5\r\n\r\npart" + scripted_target::close_now,
+        "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nwrong",
+        head + "Content-Length : 5\r\n\r\nwrong",
+        head + "X A: b\r\nContent-Length: 5\r\n\r\nwrong",
+        head + "X-A: b\r\n folded\r\nContent-Length: 5\r\n\r\nwrong",
+    };
+    std::uint16_t port = 8310;
+    for (const std::string& answer : answers) {
+        CAPTURE(answer);
+        ip_address address{"127.9.8." + std::to_string(getpid() % 200 + 20), port++};
+        scripted_target target(address, std::vector<std::string>(1000, answer));
+        bench_options options{.cases = {{"broken", address, "/"}}, .length = ms(50), .warm_up = ms(0)};
+        auto results = run_bench(options);
+        CHECK(results[0].requests == 0);
+        CHECK(results[0].errors > 0);
+    }
+}
+
+TEST_CASE("a measurement reads answers in chunks and after interim answers") {
+    ip_address address{"127.9.8." + std::to_string(getpid() % 200 + 20), 8320};
+    scripted_target target(
+        address, std::vector<std::string>(100000, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"
+                                                  "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"));
+    bench_options options{.cases = {{"whole", address, "/"}}, .length = ms(50), .warm_up = ms(0)};
+    auto results = run_bench(options);
+    CHECK(results[0].requests > 0);
+    CHECK(results[0].errors == 0);
+}
+
 TEST_CASE("cases of a measurement are checked") {
     CHECK(bench_case::parse("a=127.0.0.1:80/x=y").path == "/x=y");
     CHECK_THROWS_AS(bench_case::parse("127.0.0.1:80/x"), usage_error);
