--- a/tests/net/test_http_message.cpp
+++ b/tests/net/test_http_message.cpp
@@ -83,6 +83,12 @@
     CHECK(head.framing == body_framing::none);
     CHECK(parse_response_head("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", limit,
                               false, head) == parse_status::malformed);
+    for (const char* line : {"Transfer-Encoding: identity", "Transfer-Encoding: gzip", "Content-Length: x",
+                             "Content-Length: -2", "Content-Length : 2", "Content-Length: 2\r\n 0"}) {
+        CAPTURE(line);
+        CHECK(parse_response_head("HTTP/1.1 200 OK\r\nX-A: b\r\n" + std::string(line) + "\r\n\r\n", limit, false,
+                                  head) == parse_status::malformed);
+    }
     CHECK(parse_response_head("not an answer\r\n\r\n", limit, false, head) == parse_status::malformed);
 }
 
