--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -236,11 +236,15 @@
         return ip_address::parse(this->settings[edge]->http_address);
     }
 
+    // The status is 0 when no whole answer arrived.
     http_response call(const std::string& method, const std::string& target, std::vector<http_header> headers = {},
                        std::string body = "", std::size_t edge = 0) {
         std::optional<http_response> received;
         http_call call{this->http_address(edge), method, target, std::move(headers), std::move(body)};
-        this->client.send(std::move(call), [&](http_call_result result) { received = std::move(result.response); });
+        this->client.send(std::move(call), [&](http_call_result result) {
+            received = std::move(result.response);
+            received->status = result.status == http_call_status::ok ? received->status : 0;
+        });
         this->wait_until([&] { return received.has_value(); }, ms(12000));
         return *received;
     }
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -296,11 +296,14 @@
         ip_address booking_address = test_address(next_port());
         scripted_target booking(booking_address, {answer, head + "Content-Length: 0\r\n\r\n"});
         edge.announce("booking", "orders", booking_address);
+        counting_target other(edge.loop);
+        edge.announce("other", "orders", other.address);
         std::string key = make_uuid_v7(unix_time_ms());
         http_response booked = edge.call("POST", "/s/orders/a", {{"idempotency-key", key}}, "lamp");
         CHECK(booked.status == 502);
         CHECK(booked.body.find(R"("outcome":"unknown")") != std::string::npos);
         CHECK(booking.requests == 1);
+        CHECK(other.executed == 0);
     }
 }
 
--- a/tests/gateway/test_connections.cpp
+++ b/tests/gateway/test_connections.cpp
@@ -191,11 +191,16 @@
           head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
         CAPTURE(part);
         ip_address address = raw_connection::own_address(port++);
-        scripted_target target(address, {part + scripted_target::reset_later, answer_text("a", "whole")});
+        scripted_target target(address, {part + scripted_target::reset_later, answer_text("a", "kept"),
+                                         part + scripted_target::reset_later, answer_text("a", "whole")});
         target_client client(loop, {});
         CHECK(ask(loop, client, upload_to(address, "a")).status == target_call_status::lost);
+        CHECK(ask(loop, client, address, "a").body == "kept");
+        target_answer second = ask(loop, client, upload_to(address, "a"));
+        CHECK(second.reused);
+        CHECK(second.status == target_call_status::lost);
         CHECK(ask(loop, client, address, "a").body == "whole");
-        CHECK(target.connections == 2);
+        CHECK(target.connections == 3);
     }
 }
 
