A frozen voter is no longer replaced in place of the one that is gone

What operators saw: of five control hosts one froze, another was removed and replaced, and two more lost their disks before the frozen one woke.

Cause: the leader replaced the voter that had been silent for longest, and silence does not tell a frozen voter from one that is gone. The frozen one had its disk and no vote; the one that was gone kept its vote. Three of the two that were left and the one that was gone were then needed.

Change, and why it works: - A voter whose host accepts a connection is not replaced; a reset or no answer proves nothing. - When it is not known which of several silent voters is lost, the new process takes one vote and the others share the votes that are left: they count only as far as they could whichever of them is lost. - A process that starts at the address of a voter proves that its disk is lost. A group with a member in each majority, which would be a majority with the voters known to be lost before the election, may elect a leader and commit. Two such groups without a common member would each have to know a loss of the other before it voted there. - Changes of votes go through joint sets. All count as heard at the start of the leader's term.

In the simulated cluster a packet to a lost identity now reaches the process at its address, as on a network; it was dropped before.

--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -18,8 +18,22 @@
 //
 // Membership. A voter_set lists all members. Members with voting = false receive the log and do not count towards a
 // majority. A change takes effect when it is appended to the log. The leader promotes a non-voting member automatically
-// once it has caught up; if the member's `replaces` names another member, the leader then removes that other member.
-// At most one change is uncommitted at any time, so majorities of consecutive sets overlap.
+// once it has caught up, and in the same change removes the member that its `replaces` names. A change of votes goes
+// through a joint set (Raft's joint consensus): until that is committed, it takes a quorum of the set before and one of
+// the new set. At most one change is uncommitted at any time.
+//
+// Voters in doubt. `replaces_one_of` names voters of which one is lost, when it is not known which one. All of them
+// stay members, and from the promotion on share the votes that are left (src/consensus/voter_sets.h): they count only
+// as far as they could whichever of them is lost. One that answers the leader again has its whole vote back; once as
+// many are left as are lost, those are removed.
+//
+// Lost disks. A process at the address of a voter, but with another identity, answers vote requests with the id of the
+// voter: its disk is lost, so that it never votes again. An election and the commits of its term may then do with less
+// than a majority, if the group has a member in each majority, and would be a majority together with the lost voters.
+// Only losses known before the election count: a voter of which the loss was known can't have helped another leader
+// since. Example: of A to E, A is frozen and B is gone; F replaces one of the two, so that both share one vote. C and D
+// lose their disks. E and F alone may lack what A, B, C and D decided; with A they have a member in each majority, and
+// whatever B does, it takes C or D.
 
 #pragma once
 
@@ -146,7 +160,9 @@
 struct membership_change {
     enum class kind : std::uint8_t { add, remove };
     kind action = kind::add;
-    wire::voter_t member;  // remove: only `id` is used. add: `replaces` may name a member to remove afterwards
+    // remove: only `id` is used. add: `replaces` may name a member to remove on promotion, or `replaces_one_of` some
+    // voters of which one is lost.
+    wire::voter_t member;
 };
 
 class consensus {
@@ -183,7 +199,7 @@
     bool is_leader() const { return this->role == role_kind::leader; }
     bool has_leader_lease(time_point now) const;  // no other process holds a leader lease at `now`
     bool can_serve_reads(time_point now) const;   // lease held, and all earlier commits known and applied
-    bool is_voter() const;                        // in the newest voter set known to this member
+    bool is_voter() const;  // in the newest voter set known to this member, or the one joined to it
     const std::string& leader_id() const { return this->leader; }  // empty: unknown
     std::uint64_t term() const { return this->hard.term; }
     std::uint64_t commit_index() const { return this->committed_index; }
@@ -191,7 +207,8 @@
     std::uint64_t snapshot_index() const { return this->newest_snapshot->last_index; }
     const snapshot_pointer& current_snapshot() const { return this->newest_snapshot; }  // load its data at start
     const wire::voter_set_t& voters() const;  // newest, possibly not yet committed
-    bool membership_change_pending() const;   // uncommitted set, or a promotion or removal outstanding
+    const std::set<std::string>& known_lost_voters() const { return this->lost_voters; }  // ids; their disks are lost
+    bool membership_change_pending() const;  // uncommitted or joint set, or a promotion or removal outstanding
     // Whether everything that was committed before the present leader was elected, and since until its last message, is
     // committed here. A process that has just started knows only its last snapshot, although later entries are on its
     // disk.
@@ -285,6 +302,8 @@
     void advance_commit(time_point now);
     void advance_membership(time_point now);
     bool is_caught_up(time_point now, const std::string& member) const;
+    std::optional<wire::voter_set_t> next_voters(time_point now) const;
+    void change_to(time_point now, const wire::voter_set_t& next);
     void append_voters(time_point now, const wire::voter_set_t& voters);
     void update_peers();
     void continue_transfer();
@@ -318,6 +337,8 @@
     time_point last_leader_contact;  // votes are refused for one election timeout after this
     time_point election_deadline;
     std::set<std::string> votes;
+    std::set<std::string> lost_voters;              // ids of voters whose disks are known to be lost
+    std::set<std::string> lost_voters_at_election;  // known before the election of this term; candidate and leader
     std::optional<incoming_snapshot> incoming;
 
     // Leader only.
--- a/include/persimmongrade/consensus_driver.h
+++ b/include/persimmongrade/consensus_driver.h
@@ -16,6 +16,7 @@
 #include <concepts>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -81,6 +82,7 @@
     std::uint64_t term() const { return this->core.term(); }
     std::uint64_t commit_index() const { return this->core.commit_index(); }
     const wire::voter_set_t& voters() const { return this->core.voters(); }
+    const std::set<std::string>& known_lost_voters() const { return this->core.known_lost_voters(); }
     bool failed() const { return !this->storage || this->storage->failed(); }
     bool is_leader() const { return !this->failed() && this->core.is_leader(); }
     bool can_serve_reads(time_point now) const { return !this->failed() && this->core.can_serve_reads(now); }
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -233,7 +233,8 @@
 
 proposal consensus::change_voters(time_point now, const membership_change& change) {
     this->require_leader();
-    if (this->voter_sets.back().index > this->committed_index || !this->has_committed_in_term()) {
+    bool is_busy = this->voter_sets.back().index > this->committed_index || this->voters().joint;
+    if (is_busy || !this->has_committed_in_term()) {
         throw membership_busy_error("another membership change or the first entry of this term is uncommitted");
     }
     const auto& id = change.member.id;
@@ -247,6 +248,11 @@
         if (!replaces.empty() && find_member(next, replaces) == nullptr) {
             throw membership_error("replaced member " + replaces + " is unknown");
         }
+        for (const std::string& candidate : change.member.replaces_one_of) {
+            if (!is_voting(next, candidate)) {
+                throw membership_error("voter " + candidate + ", which may be replaced, is unknown");
+            }
+        }
         next.voters.push_back(std::make_unique<wire::voter_t>(change.member));
         next.voters.back()->voting = false;
     } else {
@@ -254,12 +260,12 @@
             throw membership_error("member " + id + " is unknown");
         }
         next = without_member(next, id);
-        if (voter_count(next) == 0) {
+        if (total_votes(next) == 0) {
             throw membership_error("member " + id + " is the last voter");
         }
     }
     proposal result{this->last_index() + 1, this->hard.term, {}};
-    this->append_voters(now, next);
+    this->change_to(now, next);
     result.todo = this->finish();
     return result;
 }
--- a/src/consensus/consensus_election.cpp
+++ b/src/consensus/consensus_election.cpp
@@ -69,6 +69,7 @@
 void consensus::start_election(time_point now, bool transfer) {
     this->become_follower(now, this->hard.term + 1, {});
     this->role = role_kind::candidate;
+    this->lost_voters_at_election = this->lost_voters;
     this->hard.voted_for = this->own_id;
     wire::vote_request_t request;
     request.term = this->hard.term;
@@ -83,18 +84,27 @@
     request.candidate = this->own_id;
     request.last_log_index = this->last_index();
     request.last_log_term = this->last_term();
-    for (const auto& member : this->voters().voters) {
-        if (member->voting && member->id != this->own_id) {
-            this->send(member->id, request);
+    const wire::voter_set_t& set = this->voters();
+    for (const auto& member : set.voters) {
+        if (member->id == this->own_id || !is_voting(set, member->id)) {
+            continue;
+        }
+        request.asked = member->id;
+        this->send(member->id, request);
+        for (const auto& other : set.voters) {
+            // There may be no connection to a member whose address its replacement has.
+            if (other->replaces == member->id && other->address == member->address) {
+                this->send(other->id, request);
+            }
         }
     }
     this->count_votes(now);
 }
 
 void consensus::count_votes(time_point now) {
-    auto granted = static_cast<std::size_t>(std::count_if(
-        this->votes.begin(), this->votes.end(), [&](const auto& id) { return is_voting(this->voters(), id); }));
-    if (granted < majority_of(this->voters())) {
+    const auto& lost = this->role == role_kind::candidate ? this->lost_voters_at_election : this->lost_voters;
+    auto has_granted = [this](const wire::voter_t& member) { return this->votes.contains(member.id); };
+    if (!is_quorum(this->voters(), lost, has_granted)) {
         return;
     }
     if (this->role == role_kind::pre_candidate) {
@@ -155,6 +165,14 @@
 void consensus::on_vote_request(time_point now, const wire::vote_request_t& request) {
     wire::vote_reply_t reply;
     reply.pre_vote = request.pre_vote;
+    bool is_for_another = !request.asked.empty() && request.asked != this->own_id;
+    if (is_for_another) {
+        // An address never has two processes at a time, and the candidate knew the voter when it sent this: the voter
+        // has ended, and this process has started at its address without its disk.
+        reply.lost = request.asked;
+        this->send(request.candidate, reply);
+        return;
+    }
     bool refused = request.term < this->hard.term || (!request.transfer && this->refuses_votes(now));
     if (refused) {
         reply.term = this->hard.term;
@@ -178,6 +196,12 @@
 }
 
 void consensus::on_vote_reply(time_point now, const std::string& from, const wire::vote_reply_t& reply) {
+    if (!reply.lost.empty()) {
+        if (reply.lost != this->own_id && is_voting(this->voters(), reply.lost)) {
+            this->lost_voters.insert(reply.lost);
+        }
+        return;
+    }
     bool pre_vote_granted = reply.pre_vote && reply.granted;
     if (reply.term > this->hard.term && !pre_vote_granted) {
         this->become_follower(now, reply.term, {});
--- a/src/consensus/consensus_leader.cpp
+++ b/src/consensus/consensus_leader.cpp
@@ -206,14 +206,8 @@
 // ---- Commit and lease ----
 
 void consensus::advance_commit(time_point now) {
-    std::vector<std::uint64_t> matches;
-    for (const auto& member : this->voters().voters) {
-        if (member->voting) {
-            matches.push_back(this->match_index(member->id));
-        }
-    }
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    auto index = matches[majority_of(this->voters()) - 1];
+    auto match_of = [this](const wire::voter_t& member) { return std::optional(this->match_index(member.id)); };
+    std::uint64_t index = quorum_value(this->voters(), this->lost_voters_at_election, match_of).value_or(0);
     // A later leader can still replace an entry of an earlier term that a majority holds, so only entries of the
     // current term are committed by counting.
     if (index <= this->committed_index || this->term_at(index) != this->hard.term) {
@@ -229,26 +223,14 @@
     this->advance_membership(now);
 }
 
-// Latest time such that a majority of the voters has answered a request sent at that time or later.
+// Latest time such that a quorum of the voters has answered a request sent at that time or later.
 std::optional<time_point> consensus::quorum_ack_time(time_point now) const {
-    std::vector<time_point> times;
-    for (const auto& member : this->voters().voters) {
-        if (!member->voting) {
-            continue;
-        }
-        if (member->id == this->own_id) {
-            times.push_back(now);
-        } else if (auto peer = this->peers.find(member->id);
-                   peer != this->peers.end() && peer->second.last_acked_send_time) {
-            times.push_back(*peer->second.last_acked_send_time);
-        }
-    }
-    auto majority = majority_of(this->voters());
-    if (times.size() < majority) {
-        return std::nullopt;
-    }
-    std::sort(times.begin(), times.end(), std::greater<>());
-    return times[majority - 1];
+    auto acked_at = [&](const wire::voter_t& member) {
+        auto peer = this->peers.find(member.id);
+        auto answered = peer == this->peers.end() ? std::nullopt : peer->second.last_acked_send_time;
+        return member.id == this->own_id ? std::optional(now) : answered;
+    };
+    return quorum_value(this->voters(), this->lost_voters_at_election, acked_at);
 }
 
 // A voter refuses other candidates for one election timeout after a request arrived. The lease is counted from the time
@@ -285,7 +267,7 @@
 
 bool consensus::membership_change_pending() const {
     const auto& set = this->voters();
-    return this->voter_sets.back().index > this->committed_index ||
+    return this->voter_sets.back().index > this->committed_index || set.joint ||
            std::any_of(set.voters.begin(), set.voters.end(),
                        [&](const auto& member) { return !member->voting || awaits_removal(set, *member); });
 }
@@ -302,29 +284,44 @@
            match + max_promotion_lag_entries >= this->committed_index;
 }
 
-// Appends the next automatic membership change, if any: a promotion, or the removal of a member that has been replaced.
+// The set after the next automatic change of votes, if one is due: a voter that shares votes answers again, a member is
+// promoted, or a member that has been replaced is removed.
+std::optional<wire::voter_set_t> consensus::next_voters(time_point now) const {
+    const wire::voter_set_t& set = this->voters();
+    auto answers = [&](const std::string& id) { return id == this->own_id || this->is_recently_active(now, id); };
+    for (const auto& member : set.voters) {
+        if (member->voting && member->shares_vote && answers(member->id)) {
+            return with_whole_vote(set, member->id);
+        }
+    }
+    for (const auto& member : set.voters) {
+        bool is_due = member->voting ? awaits_removal(set, *member) : this->is_caught_up(now, member->id);
+        if (is_due) {
+            return with_promoted(set, member->id, answers);
+        }
+    }
+    return std::nullopt;
+}
+
+// Appends the next automatic membership change, if any.
 void consensus::advance_membership(time_point now) {
     bool can_change = this->is_leader() && this->transfer_target.empty() && this->has_committed_in_term() &&
                       this->voter_sets.back().index <= this->committed_index;
     if (!can_change) {
         return;
     }
-    wire::voter_set_t next = this->voters();
-    for (auto& member : next.voters) {
-        if (!member->voting && this->is_caught_up(now, member->id)) {
-            member->voting = true;
-            this->append_voters(now, next);
-            return;
-        }
-    }
-    for (const auto& member : next.voters) {
-        if (member->voting && awaits_removal(next, *member)) {
-            this->append_voters(now, without_member(next, member->replaces));
-            return;
-        }
+    if (this->voters().joint) {
+        this->append_voters(now, completed_set(this->voters()));
+    } else if (auto next = this->next_voters(now)) {
+        this->change_to(now, *next);
     }
 }
 
+void consensus::change_to(time_point now, const wire::voter_set_t& next) {
+    const wire::voter_set_t& set = this->voters();
+    this->append_voters(now, changes_votes(set, next) ? joint_set(set, next) : next);
+}
+
 void consensus::append_voters(time_point now, const wire::voter_set_t& voters) {
     this->append_new_entry(wire::entry_kind::membership, encode_voters(voters));
     this->update_peers();
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "departure_queue.h"
+#include "host_probes.h"
 #include "persimmongrade/address.h"
 #include "persimmongrade/consensus_driver.h"
 #include "persimmongrade/event_log.h"
@@ -35,7 +36,6 @@
 constexpr std::size_t snapshot_entry_threshold = 500;
 constexpr duration join_interval = ms(300);
 constexpr duration leaderless_join_delay = ms(1500);  // longer than an election
-constexpr duration silent_voter_timeout = ms(500);    // five heartbeats; gateways are then asked about the voter
 constexpr duration timeout_check_interval = ms(100);
 constexpr duration report_batch_interval = ms(25);      // batches the reports of targets that start together
 constexpr duration gateway_ping_timeout = ms(1200);     // four missed pings
@@ -52,6 +52,14 @@
 constexpr std::size_t bytes_per_mb = 1048576;
 constexpr double target_silence_intervals = 3.5;  // heartbeat intervals without a report until a target is silent
 
+std::string comma_separated(const std::vector<std::string>& words) {
+    std::string text;
+    for (const std::string& word : words) {
+        text += (text.empty() ? "" : ",") + word;
+    }
+    return text;
+}
+
 byte_string encode_command(const wire::fleet_command_t& command) {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::fleet_command::Pack(builder, &command));
@@ -102,6 +110,7 @@
     wire::fleet_settings_t settings;
     std::uint16_t peer_port;
     std::uint16_t http_port;
+    host_probes voter_hosts;  // as the leader
     item_store items;
     target_registry targets;
     departure_requests departures_asked{random_bits()};
@@ -124,7 +133,10 @@
     gateway_list serving_gateways;                       // of all control processes
     std::uint64_t logged_gateways_version = 0;
     std::map<std::string, time_point>
-        member_heard_at;         // last sign of life of each member; cleared at the start of a term as leader
+        member_heard_at;                   // last sign of life of each member; cleared at the start of a term as leader
+    time_point leads_since{};              // as the leader
+    join_requests join_requests_received;  // as the leader
+    std::size_t logged_lost_voters = 0;
     time_point has_leader_at{};  // last time that a leader was known
     bool is_stopping = false;
     bool had_leader = false;
@@ -141,7 +153,7 @@
 
     impl(event_loop& loop, const wire::fleet_settings_t& given, metric_registry& metrics)
         : loop(loop), settings(given), peer_port(ip_address::parse(given.peer_address).port),
-          http_port(ip_address::parse(given.control_http_address).port),
+          http_port(ip_address::parse(given.control_http_address).port), voter_hosts(loop),
           log(*this, log_options(), this->log_storage_options(), loop.now()),
           peers(
               loop, settings.cluster, this->log.id(), ip_address::parse(settings.peer_address), metrics,
@@ -227,6 +239,7 @@
             log_event(has_leader ? "leader_known" : "leader_lost", field("leader", this->log.leader_id()),
                       field("term", this->log.term()));
         }
+        this->log_lost_voters();
         this->departures_asked.refuse_overdue(this->loop.now(), this->log.leader_id());
         this->send_departure_requests();
         while (!this->pending_commands.empty() &&
@@ -246,6 +259,14 @@
         return {addresses.begin(), addresses.end()};
     }
 
+    void log_lost_voters() {
+        const auto& lost = this->log.known_lost_voters();
+        if (this->logged_lost_voters != lost.size()) {
+            this->logged_lost_voters = lost.size();
+            log_event("voters_lost", field("ids", comma_separated({lost.begin(), lost.end()})));
+        }
+    }
+
     void members_changed() {
         member_addresses others = other_members(this->log.voters(), this->log.id());
         std::erase_if(others, [this](const auto& entry) { return entry.second == this->settings.peer_address; });
@@ -257,11 +278,17 @@
                                   [this](const std::string& id, const std::string& address) {
                                       this->peers.add_peer(id, ip_address::parse(address));
                                   });
-        std::string names;
-        for (const auto& voter : this->log.voters().voters) {
-            names += (names.empty() ? "" : ",") + voter->id + (voter->voting ? "" : "(learning)");
-        }
-        log_event("members_changed", field("members", names), field("term", this->log.term()));
+        const wire::voter_set_t& set = this->log.voters();
+        std::vector<std::string> names;
+        for (const auto& voter : set.voters) {
+            const char* role = voter->leaving       ? "(leaving)"
+                               : !voter->voting     ? "(learning)"
+                               : voter->shares_vote ? "(sharing)"
+                                                    : "";
+            names.push_back(voter->id + role);
+        }
+        log_event("members_changed", field("members", comma_separated(names)), field("joint", set.joint),
+                  field("lost_sharers", set.lost_sharers), field("term", this->log.term()));
     }
 
     static std::string join_peer_id(const std::string& address) { return "ask " + address; }
@@ -292,9 +319,10 @@
     }
 
     // Last sign of life of the voter: a message to the log or to this process, or a gateway's ping that names it as
-    // reached. A voter not heard since this process became the leader counts as heard at the first question.
-    time_point voter_heard_at(const std::string& id) {
-        time_point heard = this->member_heard_at.try_emplace(id, this->loop.now()).first->second;
+    // reached. Without one since this process became the leader, the time at which it did.
+    time_point voter_heard_at(const std::string& id) const {
+        auto known = this->member_heard_at.find(id);
+        time_point heard = known == this->member_heard_at.end() ? this->leads_since : known->second;
         auto session = this->member_sessions.find(id);
         return session == this->member_sessions.end() ? heard : std::max(heard, session->second.last_ping_at);
     }
@@ -310,6 +338,26 @@
         return silent;
     }
 
+    // Leaves out the silent voters whose hosts run. False as long as that is not known, or when none is left.
+    bool choose_replaced(wire::voter_t& admitted) {
+        auto& candidates = admitted.replaces_one_of;
+        if (candidates.empty()) {
+            return true;
+        }
+        for (const auto& voter : this->log.voters().voters) {
+            if (std::find(candidates.begin(), candidates.end(), voter->id) != candidates.end()) {
+                this->voter_hosts.start(voter->id, ip_address::parse(voter->address));
+            }
+        }
+        auto without_host = voters_without_host(candidates, this->loop.now(),
+                                                [this](const std::string& id) { return this->voter_hosts.find(id); });
+        if (!without_host || !may_replace_one_of(this->log.voters(), *without_host)) {
+            return false;
+        }
+        candidates = std::move(*without_host);
+        return true;
+    }
+
     void handle_join_request(const std::string& from, const wire::join_request_t& request) {
         wire::join_reply_t reply;
         reply.members = this->peer_addresses();
@@ -321,15 +369,22 @@
         auto silence = [&](const std::string& id) {
             return id == this->log.id() ? duration::zero() : now - this->voter_heard_at(id);
         };
-        auto admitted = admitted_voter(this->log.voters(), request, 2 * this->settings.lost_disks + 1, silence);
+        duration asked_for = this->join_requests_received.asked_for(request.id, now);
+        auto admitted =
+            admitted_voter(this->log.voters(), request, 2 * this->settings.lost_disks + 1, asked_for, silence);
         if (!admitted) {
             return;
         }
+        if (!this->choose_replaced(*admitted)) {
+            return;  // the process asks again
+        }
         membership_change change;
         change.member = *admitted;
         try {
             this->log.change_voters(now, change);
-            log_event("member_added", field("id", request.id), field("replaces", change.member.replaces));
+            this->member_heard_at[request.id] = now;
+            log_event("member_added", field("id", request.id), field("replaces", change.member.replaces),
+                      field("replaces_one_of", comma_separated(change.member.replaces_one_of)));
         } catch (const error& failure) {  // for example another change in progress: the process asks again
             log_event("member_not_added", field("id", request.id), field("reason", failure.what()));
         }
@@ -504,6 +559,9 @@
                   field("term", this->log.term()));
         if (change == leadership_change::gained) {
             this->member_heard_at.clear();
+            this->leads_since = this->loop.now();
+            this->join_requests_received.clear();
+            this->voter_hosts.clear();
             this->credits.become_leader(this->log.term(), this->loop.now());
             this->limits_are_current = false;
             return;
--- /dev/null
+++ b/src/fleet/host_probes.h
@@ -0,0 +1,35 @@
+// Probes whether the hosts of silent voters accept connections.
+//
+//     host_probes probes(loop);
+//     probes.start(voter.id, ip_address::parse(voter.address));
+//     const host_probe* probe = probes.find(voter.id);  // later
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "persimmongrade/address.h"
+#include "persimmongrade/event_loop.h"
+#include "voter_admission.h"
+
+namespace persimmongrade {
+
+class host_probes {
+public:
+    explicit host_probes(event_loop& loop) : loop(loop) {}
+
+    // No effect as long as the newest probe of the voter counts.
+    void start(const std::string& id, const ip_address& address);
+    const host_probe* find(const std::string& id) const;  // the newest one, or null
+    void clear() { this->probes->clear(); }
+
+private:
+    using probes_by_id = std::map<std::string, host_probe>;
+
+    event_loop& loop;
+    std::shared_ptr<probes_by_id> probes = std::make_shared<probes_by_id>();  // callbacks may outlive this object
+};
+
+}  // namespace persimmongrade
--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -77,6 +77,7 @@
     std::size_t completed_replacements = 0;
 
     cluster(std::size_t size, std::uint64_t seed) : nodes(size), random(seed) {
+        this->nodes.reserve(max_nodes);  // the storage of a node refers to its files
         this->max_append_entries = 1 + this->random_below(6);
         for (std::size_t i = 0; i < size; ++i) {
             auto& added = this->nodes[i];
@@ -85,6 +86,7 @@
             added.clock_offset_ms = static_cast<std::int64_t>(this->random_below(1'000'000));
             this->initial_voters.voters.push_back(std::make_unique<wire::voter_t>());
             this->initial_voters.voters.back()->id = added.name;
+            this->initial_voters.voters.back()->address = added.name;
         }
         for (auto& added : this->nodes) {
             this->start(added);
@@ -291,19 +293,9 @@
 
     std::size_t committed_entries() const { return this->history.size(); }
 
-private:
-    struct packet {
-        std::string from;
-        outgoing_message message;
-    };
-
     bool paused(const node& member) const { return this->now < member.paused_until; }
 
-    bool all_equal() const {
-        return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const node& member) {
-            return member.core && member.state.index == this->history.size();
-        });
-    }
+    bool has_whole_state(const node& member) const { return member.core && member.state.index == this->history.size(); }
 
     template <typename Request>
     void try_request(node& member, const Request& request) {
@@ -315,6 +307,29 @@
         }
     }
 
+    // A process with an empty disk and an address of its own, which no voter set contains.
+    node& add_node() {
+        check_that(this->nodes.size() < max_nodes, "there are too many nodes");
+        node& added = this->nodes.emplace_back();
+        added.name = "n" + std::to_string(this->nodes.size() - 1);
+        added.bootstrap = false;
+        this->start(added);
+        return added;
+    }
+
+private:
+    static constexpr std::size_t max_nodes = 10;  // names have one digit
+
+    struct packet {
+        std::string from;
+        outgoing_message message;
+    };
+
+    bool all_equal() const {
+        return std::all_of(this->nodes.begin(), this->nodes.end(),
+                           [this](const node& member) { return this->has_whole_state(member); });
+    }
+
     // Executes an actions value as consensus_driver does. Any storage failure ends the process.
     void execute(node& member, actions todo) {
         try {
@@ -395,7 +410,7 @@
         }
     }
 
-    // Packets are addressed by member id, so those to the id of a lost disk are dropped.
+    // Packets to the id of a lost disk reach the process that has its address now.
     void deliver_due() {
         constexpr int limit = 100'000;  // guards against an endless exchange without network delay
         for (int count = 0; !this->packets.empty() && this->packets.begin()->first <= this->now; ++count) {
@@ -403,7 +418,7 @@
             auto next = std::move(this->packets.begin()->second);
             this->packets.erase(this->packets.begin());
             auto to = std::find_if(this->nodes.begin(), this->nodes.end(),
-                                   [&](const node& member) { return member.id == next.message.to; });
+                                   [&](const node& member) { return member.name == next.message.to.substr(0, 2); });
             bool reachable =
                 to != this->nodes.end() && to->core && !this->blocked_links[{next.from.substr(0, 2), to->name}];
             if (reachable && this->paused(*to)) {
@@ -428,6 +443,7 @@
         if (!added) {
             membership_change change;
             change.member.id = this->replacement_id;
+            change.member.address = this->replacement_id.substr(0, 2);
             change.member.replaces = this->replaced_id;
             this->try_request(*leader,
                               [&] { return leader->core->change_voters(this->local_time(*leader), change).todo; });
--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -130,7 +130,7 @@
     wire::voter_set_t next = without_member(set, "lost");
     REQUIRE(awaits_removal(next, *find_member(next, "second")));
     next = without_member(next, "gone");
-    CHECK(voter_count(next) == 3);
+    CHECK(total_votes(next) == 3);
     CHECK_FALSE(awaits_removal(next, *find_member(next, "second")));
 }
 
