Silent voters are probed before they may be replaced

Cause: the leader probed the host of a silent voter only once the voter had been silent for 1.5 s, and a process that joins asks every 300 ms.

Change: hosts of voters that have been silent for 0.5 s are probed while a process asks to join, so that the result is at hand.

--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -338,17 +338,22 @@
         return silent;
     }
 
+    // Before a voter has been silent for so long that it may be replaced, so that the results are at hand then.
+    void probe_silent_voters() {
+        for (const auto& voter : this->log.voters().voters) {
+            bool is_silent = this->loop.now() - this->voter_heard_at(voter->id) > silent_voter_timeout;
+            if (is_silent && voter->id != this->log.id()) {
+                this->voter_hosts.start(voter->id, ip_address::parse(voter->address));
+            }
+        }
+    }
+
     // Leaves out the silent voters whose hosts run. False as long as that is not known, or when none is left.
-    bool choose_replaced(wire::voter_t& admitted) {
+    bool choose_replaced(wire::voter_t& admitted) const {
         auto& candidates = admitted.replaces_one_of;
         if (candidates.empty()) {
             return true;
         }
-        for (const auto& voter : this->log.voters().voters) {
-            if (std::find(candidates.begin(), candidates.end(), voter->id) != candidates.end()) {
-                this->voter_hosts.start(voter->id, ip_address::parse(voter->address));
-            }
-        }
         auto without_host = voters_without_host(candidates, this->loop.now(),
                                                 [this](const std::string& id) { return this->voter_hosts.find(id); });
         if (!without_host || !may_replace_one_of(this->log.voters(), *without_host)) {
@@ -369,6 +374,7 @@
         auto silence = [&](const std::string& id) {
             return id == this->log.id() ? duration::zero() : now - this->voter_heard_at(id);
         };
+        this->probe_silent_voters();
         duration asked_for = this->join_requests_received.asked_for(request.id, now);
         auto admitted =
             admitted_voter(this->log.voters(), request, 2 * this->settings.lost_disks + 1, asked_for, silence);
--- a/src/fleet/host_probes.cpp
+++ b/src/fleet/host_probes.cpp
@@ -8,31 +8,33 @@
 namespace {
 
 constexpr duration connect_timeout = ms(250);  // several round trips between regions
+constexpr duration probe_interval = ms(500);   // well below host_probe_lifetime: a result is always at hand
 
 }  // namespace
 
 void host_probes::start(const std::string& id, const ip_address& address) {
-    time_point started_at = this->loop.now();
-    const host_probe* newest = this->find(id);
-    if (newest != nullptr && started_at - newest->started_at <= host_probe_lifetime) {
+    time_point now = this->loop.now();
+    entry& known = (*this->probes)[id];
+    if (known.running_since || (known.ended && now - known.ended->started_at < probe_interval)) {
         return;
     }
-    (*this->probes)[id] = {started_at, std::nullopt};
+    known.running_since = now;
     std::weak_ptr<probes_by_id> results = this->probes;
-    probe_connection(this->loop, address, connect_timeout, [results, id, started_at](probe_result result) {
-        auto probes = results.lock();
-        if (probes == nullptr || !probes->contains(id) || probes->at(id).started_at != started_at) {
-            return;
+    probe_connection(this->loop, address, connect_timeout, [results, id](probe_result result) {
+        if (auto probes = results.lock()) {
+            entry& probed = probes->at(id);
+            host_probe ended{*probed.running_since, result == probe_result::connected};
+            if (!probed.ended || probed.ended->accepts != ended.accepts) {
+                log_event("voter_host_probed", field("id", id), field("accepts", ended.accepts));
+            }
+            probed = {std::nullopt, ended};
         }
-        bool accepts = result == probe_result::connected;
-        probes->at(id).accepts = accepts;
-        log_event("voter_host_probed", field("id", id), field("accepts", accepts));
     });
 }
 
 const host_probe* host_probes::find(const std::string& id) const {
     auto found = this->probes->find(id);
-    return found == this->probes->end() ? nullptr : &found->second;
+    return found == this->probes->end() || !found->second.ended ? nullptr : &*found->second.ended;
 }
 
 }  // namespace persimmongrade
--- a/src/fleet/voter_admission.cpp
+++ b/src/fleet/voter_admission.cpp
@@ -90,10 +90,10 @@
     std::vector<std::string> without_host;
     for (const std::string& id : voters) {
         const host_probe* probe = probe_of(id);
-        if (probe == nullptr || !probe->accepts || now - probe->started_at > host_probe_lifetime) {
+        if (probe == nullptr || now - probe->started_at > host_probe_lifetime) {
             return std::nullopt;
         }
-        if (!*probe->accepts) {
+        if (!probe->accepts) {
             without_host.push_back(id);
         }
     }
--- a/src/fleet/voter_admission.h
+++ b/src/fleet/voter_admission.h
@@ -42,7 +42,7 @@
 // What a connection to the host of a silent voter showed.
 struct host_probe {
     time_point started_at{};
-    std::optional<bool> accepts;  // empty: not known yet
+    bool accepts = false;
 };
 
 inline constexpr duration host_probe_lifetime = ms(1000);  // the host may be lost after it
