--- a/src/fleet/voter_admission.h
+++ b/src/fleet/voter_admission.h
@@ -1,11 +1,11 @@
 // Decides how a control process that asks to join becomes a member of the replicated log. Free of I/O.
 //
 // A voter that is gone cannot be distinguished from one that is frozen or cut off from every process: the age of its
-// silence does not tell which. A process that joins replaces a voter only when it is known which one is lost: the one
-// whose address the process has, or the only one that is silent. Otherwise it replaces one of those that are silent,
-// which then share the votes that are left (consensus.h). An answer to a gateway is a sign of life, and so is a
-// connection that the host accepts: the kernel of a frozen process does, but not a host without power. Hosts that
-// refuse or do not answer prove nothing.
+// silence does not tell which. Only the loss of the voter whose address the joining process has is certain. A voter
+// that alone gives no sign of life is taken for lost and replaced, too; it may join again. When several give none, the
+// process replaces one of them, and they share the votes that are left (consensus.h). An answer to a gateway is a sign
+// of life, and so is a connection that the host accepts: the kernel of a frozen process does, but not a host without
+// power. Hosts that refuse or do not answer prove nothing.
 //
 // A process usually starts after the voter that it succeeds is gone. It waits until each voter has been heard since it
 // asked, or is silent long enough to be named.
--- a/tests/fleet/test_membership.cpp
+++ b/tests/fleet/test_membership.cpp
@@ -41,6 +41,12 @@
             ms(5000));
         return *accepted;
     }
+
+    void check_read_back(const std::string& name) {
+        this->run_until([this] { return this->leader() != nullptr; }, ms(15000));
+        REQUIRE(this->leader() != nullptr);
+        CHECK(this->leader()->items().find(wire::item_kind::service, name) != nullptr);
+    }
 };
 
 }  // namespace
@@ -66,9 +72,7 @@
     for (std::size_t i : {1, 2}) {
         system.start_control(i, false);
     }
-    system.run_until([&] { return system.leader() != nullptr; }, ms(15000));
-    REQUIRE(system.leader() != nullptr);
-    CHECK(system.leader()->items().find(wire::item_kind::service, "second") != nullptr);
+    system.check_read_back("second");
 }
 
 namespace {
@@ -125,9 +129,7 @@
     system.start_control(follower(4), false);
     cut_off.reset();
     system.start_control(follower(1));
-    system.run_until([&] { return system.leader() != nullptr; }, ms(15000));
-    REQUIRE(system.leader() != nullptr);
-    CHECK(system.leader()->items().find(wire::item_kind::service, "second") != nullptr);
+    system.check_read_back("second");
 }
 
 namespace {
@@ -224,9 +226,7 @@
     frozen_process.reset();
     frozen_host.reset();
     system.start_control(frozen);
-    system.run_until([&] { return system.leader() != nullptr; }, ms(15000));
-    REQUIRE(system.leader() != nullptr);
-    CHECK(system.leader()->items().find(wire::item_kind::service, "second") != nullptr);
+    system.check_read_back("second");
 }
 
 // Lost disks whose hosts are replaced, too, leave nobody at the voters' addresses who proves the loss. The frozen voter
@@ -254,9 +254,7 @@
     system.loop.run_for(ms(1000));
     frozen.reset();
     system.start_control(other(1));
-    system.run_until([&] { return system.leader() != nullptr; }, ms(15000));
-    REQUIRE(system.leader() != nullptr);
-    CHECK(system.leader()->items().find(wire::item_kind::service, "second") != nullptr);
+    system.check_read_back("second");
 }
 
 namespace {
