Log lines and counters that tell the causes of older items apart

Cause: nothing told whether a gateway had been sent items that did not arrive, had refused them, or had dropped a connection over which they were still arriving, nor whether a control process lacked entries of the log.

Change: no logic. items_refused at a gateway; received_bytes in items_source and control_lost; gateway_behind, gateway_caught_up and items_resent at a control process; commits_missing and commits_caught_up for the log; counters of changes by outcome, of items sent again and of sends put off for a full queue.

--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -37,6 +37,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -203,6 +204,8 @@
     const std::string& leader_id() const { return this->leader; }  // empty: unknown
     std::uint64_t term() const { return this->hard.term; }
     std::uint64_t commit_index() const { return this->committed_index; }
+    // Highest index that this member or a leader has committed, according to what has arrived here.
+    std::uint64_t known_commit_index() const { return std::max(this->committed_index, this->leader_commit_index); }
     std::uint64_t last_index() const;
     std::uint64_t snapshot_index() const { return this->newest_snapshot->last_index; }
     const snapshot_pointer& current_snapshot() const { return this->newest_snapshot; }  // load its data at start
@@ -333,8 +336,9 @@
 
     role_kind role = role_kind::follower;
     std::string leader;
-    bool caught_up = false;          // follower: with what `leader` had committed when it sent a request
-    time_point last_leader_contact;  // votes are refused for one election timeout after this
+    std::uint64_t leader_commit_index = 0;  // as a leader last stated
+    bool caught_up = false;                 // follower: with what `leader` had committed when it sent a request
+    time_point last_leader_contact;         // votes are refused for one election timeout after this
     time_point election_deadline;
     std::set<std::string> votes;
     std::set<std::string> lost_voters;              // ids of voters whose disks are known to be lost
--- a/include/persimmongrade/consensus_driver.h
+++ b/include/persimmongrade/consensus_driver.h
@@ -81,6 +81,7 @@
     std::string leader_id() const { return this->failed() ? std::string() : this->core.leader_id(); }
     std::uint64_t term() const { return this->core.term(); }
     std::uint64_t commit_index() const { return this->core.commit_index(); }
+    std::uint64_t known_commit_index() const { return this->core.known_commit_index(); }
     const wire::voter_set_t& voters() const { return this->core.voters(); }
     const std::set<std::string>& known_lost_voters() const { return this->core.known_lost_voters(); }
     bool failed() const { return !this->storage || this->storage->failed(); }
--- a/include/persimmongrade/peer_transport.h
+++ b/include/persimmongrade/peer_transport.h
@@ -58,6 +58,14 @@
 std::string encode_frame(const wire::envelope_t& envelope);
 decoded_frame decode_frame(const char* bytes, std::size_t size);  // never throws; any bytes are allowed
 
+// What has arrived over the connection that send() would use, also of a frame that is not complete yet.
+struct received_traffic {
+    std::uint64_t bytes = 0;
+    time_point last_at{};  // zero: nothing
+
+    bool operator==(const received_traffic&) const = default;
+};
+
 using peer_handler = std::function<void(const wire::envelope_t&)>;
 
 class peer_transport {
@@ -80,6 +88,7 @@
     // Not yet taken by the connection that send() would use; 0 without a connection. Large state messages should wait
     // for it: a sum over hundreds of slow peers fills the memory long before one queue is full.
     std::size_t queued_bytes(const std::string& id) const;
+    received_traffic received(const std::string& id) const;  // of no connection: nothing
     // Rises whenever connected() may give another answer for some peer, so that a caller which follows all peers need
     // not ask for each of them again.
     std::uint64_t connection_changes() const noexcept;
--- a/src/consensus/consensus_follower.cpp
+++ b/src/consensus/consensus_follower.cpp
@@ -60,6 +60,7 @@
         return;
     }
     this->accept_leader(now, request.term, request.leader);
+    this->leader_commit_index = std::max(this->leader_commit_index, request.commit_index);
     reply.term = this->hard.term;
     reply.sequence = request.sequence;
     // Committed entries are known to be identical to those of the leader.
@@ -112,6 +113,7 @@
         return;
     }
     this->accept_leader(now, chunk.term, chunk.leader);
+    this->leader_commit_index = std::max(this->leader_commit_index, chunk.last_index);
     reply.term = this->hard.term;
     reply.sequence = chunk.sequence;
     reply.last_index = chunk.last_index;
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -44,6 +44,7 @@
 constexpr duration member_timeout = ms(1000);  // without a ping: targets are not sent there, reports go around it
 // The gateways that a control process named, after its last ping. They need a second to turn to another one.
 constexpr duration member_gateways_expiry = ms(2500);
+constexpr duration gateway_lag_logged = ms(1000);    // items that a gateway has not applied for this long are logged
 constexpr duration items_resend_timeout = ms(2000);  // many items take this long over a slow link
 constexpr duration storage_retry_interval = ms(300);
 constexpr duration command_timeout = ms(3000);
@@ -83,6 +84,9 @@
         std::uint64_t sent_items_index = 0;  // log index up to which items were sent
         time_point items_sent_at{};
         report_stream reports;
+        std::uint64_t lag_index = 0;             // not applied by the gateway ...
+        std::optional<time_point> behind_since;  // ... and known here since then
+        bool behind_logged = false;
         bool knows_news = true;  // nothing was lost for want of a connection
         bool is_new = true;
 
@@ -137,11 +141,15 @@
     time_point leads_since{};              // as the leader
     join_requests join_requests_received;  // as the leader
     std::size_t logged_lost_voters = 0;
+    std::optional<time_point> commits_missing_since;  // entries that the leader has committed are not committed here
+    bool commits_missing_logged = false;
     time_point has_leader_at{};  // last time that a leader was known
     bool is_stopping = false;
     bool had_leader = false;
     prometheus::Counter& commands_accepted;
     prometheus::Counter& commands_refused;
+    prometheus::Counter& items_resent;
+    prometheus::Counter& sends_deferred;
     prometheus::Counter& reports_received;
     prometheus::Counter& reports_refused;
     prometheus::Gauge& leader_gauge;
@@ -162,6 +170,10 @@
               metrics.counter("persimmongrade_orders_total", "Orders of operators.", {{"outcome", "accepted"}})),
           commands_refused(
               metrics.counter("persimmongrade_orders_total", "Orders of operators.", {{"outcome", "refused"}})),
+          items_resent(metrics.counter("persimmongrade_items_resent_total",
+                                       "Changes of items sent again to a gateway that had not applied them.")),
+          sends_deferred(metrics.counter("persimmongrade_deferred_sends_total",
+                                         "Items and reports not sent because the receiver's queue was full.")),
           reports_received(
               metrics.counter("persimmongrade_target_reports_total", "Reports of targets.", {{"outcome", "accepted"}})),
           reports_refused(
@@ -240,6 +252,7 @@
                       field("term", this->log.term()));
         }
         this->log_lost_voters();
+        this->log_missing_commits();
         this->departures_asked.refuse_overdue(this->loop.now(), this->log.leader_id());
         this->send_departure_requests();
         while (!this->pending_commands.empty() &&
@@ -267,6 +280,26 @@
         }
     }
 
+    void log_missing_commits() {
+        bool is_missing = this->log.known_commit_index() > this->log.commit_index();
+        if (!is_missing) {
+            if (std::exchange(this->commits_missing_logged, false)) {
+                log_event("commits_caught_up", field("committed", this->log.commit_index()));
+            }
+            this->commits_missing_since.reset();
+            return;
+        }
+        if (!this->commits_missing_since) {
+            this->commits_missing_since = this->loop.now();
+        }
+        if (!this->commits_missing_logged && this->loop.now() - *this->commits_missing_since > election_timeout) {
+            this->commits_missing_logged = true;
+            log_event("commits_missing", field("committed", this->log.commit_index()),
+                      field("committed_by_leader", this->log.known_commit_index()),
+                      field("leader", this->log.leader_id()));
+        }
+    }
+
     void members_changed() {
         member_addresses others = other_members(this->log.voters(), this->log.id());
         std::erase_if(others, [this](const auto& entry) { return entry.second == this->settings.peer_address; });
@@ -742,6 +775,12 @@
         this->send_pong(from, ping, wants_news && session.knows_news);
         bool has_lost_items =
             ping.applied < session.sent_items_index && now - session.items_sent_at > items_resend_timeout;
+        if (has_lost_items) {
+            this->items_resent.Increment();
+            log_event("items_resent", field("id", from), field("applied", ping.applied),
+                      field("sent", session.sent_items_index));
+        }
+        this->note_items_lag(from, session);
         if (has_lost_items || !had_wanted_items || session.sent_items_index < ping.applied) {
             session.sent_items_index = ping.applied;
         }
@@ -755,6 +794,32 @@
         session.is_new = false;
     }
 
+    // One line when a gateway begins to lag, and one when it has caught up.
+    void note_items_lag(const std::string& id, gateway_session& session) {
+        time_point now = this->loop.now();
+        if (session.last_ping.applied >= session.lag_index) {
+            if (std::exchange(session.behind_logged, false)) {
+                log_event("gateway_caught_up", field("id", id), field("applied", session.last_ping.applied),
+                          field("took_ms", (now - *session.behind_since).count()));
+            }
+            session.behind_since.reset();
+        }
+        if (session.last_ping.applied >= this->items.applied()) {
+            return;
+        }
+        if (!session.behind_since) {
+            session.behind_since = now;
+            session.lag_index = this->items.applied();
+        }
+        if (!session.behind_logged && now - *session.behind_since > gateway_lag_logged) {
+            session.behind_logged = true;
+            log_event("gateway_behind", field("id", id), field("applied", session.last_ping.applied),
+                      field("known", this->items.applied()), field("sent", session.sent_items_index),
+                      field("wants_items", session.last_ping.wants_items),
+                      field("queued_bytes", this->peers.queued_bytes(id)));
+        }
+    }
+
     void send_pong(const std::string& from, const wire::gateway_ping_t& ping, bool sent_news) {
         wire::gateway_pong_t pong;
         pong.address = this->settings.peer_address;
@@ -793,7 +858,11 @@
     void send_items(const std::string& id, gateway_session& session) {
         bool is_due = session.last_ping.wants_items && session.sent_items_index < this->items.applied() &&
                       this->log.knows_all_commits();
-        if (!is_due || !this->has_room(id)) {
+        if (!is_due) {
+            return;
+        }
+        if (!this->has_room(id)) {
+            this->sends_deferred.Increment();
             return;
         }
         auto delta = this->items.changes_since(session.sent_items_index);
@@ -812,6 +881,7 @@
 
     void send_reports(const std::string& id, std::uint64_t number, const report_list& reports, bool full) {
         if (!this->has_room(id)) {
+            this->sends_deferred.Increment();
             return;  // the receiver misses this number, and gets everything once its queue is empty
         }
         wire::target_reports_t message;
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -34,6 +34,11 @@
            std::to_string(::getpid());
 }
 
+prometheus::Counter& items_counter(metric_registry& metrics, const char* outcome) {
+    return metrics.counter("persimmongrade_items_deltas_total", "Messages with changes of items, received.",
+                           {{"outcome", outcome}});
+}
+
 void log_notice(const wire::quarantine_notice_t& notice, const std::string& from) {
     std::string targets;
     for (const std::string& target : notice.targets) {
@@ -56,6 +61,8 @@
                            const shared_state& state, std::function<void(const control_update&)> on_update)
     : loop(loop), settings(given), items(state.items), targets(state.targets), crashes(state.crashes),
       limits(state.limits), credits(state.credits), on_update(std::move(on_update)),
+      items_applied(items_counter(metrics, "applied")), items_known(items_counter(metrics, "known")),
+      items_refused(items_counter(metrics, "lacks_earlier")),
       peers(
           loop, given.cluster, gateway_id(given), ip_address::parse(given.peer_address), metrics,
           [this](const wire::envelope_t& envelope) { this->receive(envelope); }, quick_peers),
@@ -159,7 +166,8 @@
     if (best != nullptr) {
         log_event("items_source", field("before", this->source), field("control", *best), field("silent", is_lost),
                   field("behind", is_behind), field("applied", this->items.applied()),
-                  field("known_there", this->control_peers.at(*best).applied));
+                  field("known_there", this->control_peers.at(*best).applied),
+                  field("received_bytes", this->received_since_answer(this->source)));
         this->set_source(*best);
     }
 }
@@ -232,7 +240,8 @@
     }
     if (peer.is_reachable) {
         peer.is_reachable = false;
-        log_event("control_lost", field("control", address), field("silent_ms", (now - peer.answered_at).count()));
+        log_event("control_lost", field("control", address), field("silent_ms", (now - peer.answered_at).count()),
+                  field("received_bytes", this->received_since_answer(address)));
     }
     if (now - peer.connected_at > control_timeout) {
         peer.connected_at = now;
@@ -376,6 +385,7 @@
     control_peer& known = this->control_peers.at(pong.address);
     time_point now = this->loop.now();
     known.answered_at = now;
+    known.received_at_answer = this->peers.received(pong.address).bytes;
     known.unanswered_since = time_point{};
     known.region_gateways = std::max(1U, pong.region_gateways);
     this->count_gateways(now);
@@ -429,11 +439,28 @@
     }
 }
 
+std::uint64_t control_link::received_since_answer(const std::string& address) const {
+    auto known = this->control_peers.find(address);
+    if (known == this->control_peers.end()) {
+        return 0;
+    }
+    std::uint64_t bytes = this->peers.received(address).bytes;  // starts again with each connection
+    return bytes - std::min(bytes, known->second.received_at_answer);
+}
+
 void control_link::on_items(const std::string& from, const wire::items_delta_t& delta) {
     std::uint64_t before = this->items.applied();
+    bool lacks_earlier = delta.base > before;
+    if (lacks_earlier && !this->lacks_earlier_items) {
+        log_event("items_refused", field("from", from), field("base", delta.base), field("upto", delta.upto),
+                  field("applied", before));
+    }
+    this->lacks_earlier_items = lacks_earlier;
     if (!this->items.merge(delta)) {
+        (lacks_earlier ? this->items_refused : this->items_known).Increment();
         return;
     }
+    this->items_applied.Increment();
     log_event("items_changed", field("from", from), field("index", this->items.applied()), field("before", before),
               field("items", delta.items.size()), field("evacuations", delta.evacuations.size()),
               field("departures", delta.departures.size()));
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -83,7 +83,8 @@
         std::uint64_t applied = 0;  // log index that it has applied
         bool has_leader = false;
         gateway_list_copy gateways;
-        std::vector<std::string> silent;  // process ids that it does not hear, and asks about
+        std::vector<std::string> silent;       // process ids that it does not hear, and asks about
+        std::uint64_t received_at_answer = 0;  // bytes over its connection until its last answer
         bool is_reachable = false;
         bool knows_news = false;  // was sent all notices and limits that this gateway knows
 
@@ -111,6 +112,7 @@
     void count_gateways(time_point now);
     void on_pong(const std::string& from, const wire::gateway_pong_t& pong);
     void update_gateways(time_point now, const wire::gateway_pong_t& pong);
+    std::uint64_t received_since_answer(const std::string& address) const;
     void on_items(const std::string& from, const wire::items_delta_t& delta);
     void on_reports(const std::string& from, const wire::target_reports_t& message);
     void add_control_peer(const std::string& address);
@@ -138,6 +140,10 @@
     time_point fewer_gateways_since{};  // zero: as many as counted
     time_point source_behind_since{};   // when another control process became the better source; zero: none is
     timer_id initial_ping_timer = 0;
+    bool lacks_earlier_items = false;  // the last change of items was refused for that reason
+    prometheus::Counter& items_applied;
+    prometheus::Counter& items_known;
+    prometheus::Counter& items_refused;
     peer_transport peers;
     owned_timers timers;
 };
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -88,6 +88,7 @@
     std::string peer_id;            // of an accepted connection: known after its first frame
     std::uint64_t incarnation = 0;  // of the peer, as in its last frame; 0: not stated
     bool established = false;
+    received_traffic received;
     std::function<void(connection&)> on_readable;
     std::function<void(connection&)> on_closed;
     std::function<void()> on_established;  // of an outgoing connection
@@ -116,6 +117,8 @@
                 self.on_closed(self);
                 return;
             }
+            self.received.bytes += sock->bytes_read;  // by this event alone
+            self.received.last_at = steady_clock_ms::now();
             self.on_readable(self);
         });
     }
@@ -494,6 +497,11 @@
     return route == nullptr ? 0 : route->queue_size();
 }
 
+received_traffic peer_transport::received(const std::string& id) const {
+    const connection* route = this->state->route(id);
+    return route == nullptr ? received_traffic{} : route->received;
+}
+
 std::uint64_t peer_transport::connection_changes() const noexcept {
     return this->state->changes;
 }
