A member of the log that no longer gets what its leader commits does not pass on what it has as the newest

Found by reading, as the same class of fault: who holds what was decided once and kept, as long as the same leader was known.

Cause: knows_all_commits() stayed true from the first message that named no later commit until the leader changed. A member that got heartbeats but no entries, or a learner that was cut off, went on to send gateways its items as up to date.

--- a/include/persimmongrade/consensus.h
+++ b/include/persimmongrade/consensus.h
@@ -212,10 +212,11 @@
     const wire::voter_set_t& voters() const;  // newest, possibly not yet committed
     const std::set<std::string>& known_lost_voters() const { return this->lost_voters; }  // ids; their disks are lost
     bool membership_change_pending() const;  // uncommitted or joint set, or a promotion or removal outstanding
-    // Whether everything that was committed before the present leader was elected, and since until its last message, is
-    // committed here. A process that has just started knows only its last snapshot, although later entries are on its
-    // disk.
-    bool knows_all_commits() const;
+    // Whether everything that was committed before the present leader was elected, and since until one of its messages
+    // of the last election timeout, is committed here. A process that has just started knows only its last snapshot,
+    // although later entries are on its disk. Over a link that loses entries, the leader's heartbeats alone show
+    // nothing.
+    bool knows_all_commits(time_point now) const;
 
     // Leader only. Whether the member has answered a request that was sent within the last election timeout.
     bool is_recently_active(time_point now, const std::string& member) const;
@@ -336,9 +337,9 @@
 
     role_kind role = role_kind::follower;
     std::string leader;
-    std::uint64_t leader_commit_index = 0;  // as a leader last stated
-    bool caught_up = false;                 // follower: with what `leader` had committed when it sent a request
-    time_point last_leader_contact;         // votes are refused for one election timeout after this
+    std::uint64_t leader_commit_index = 0;   // as a leader last stated
+    std::optional<time_point> caught_up_at;  // follower: last message of `leader` that named no later commit
+    time_point last_leader_contact;          // votes are refused for one election timeout after this
     time_point election_deadline;
     std::set<std::string> votes;
     std::set<std::string> lost_voters;              // ids of voters whose disks are known to be lost
--- a/include/persimmongrade/consensus_driver.h
+++ b/include/persimmongrade/consensus_driver.h
@@ -87,7 +87,7 @@
     bool failed() const { return !this->storage || this->storage->failed(); }
     bool is_leader() const { return !this->failed() && this->core.is_leader(); }
     bool can_serve_reads(time_point now) const { return !this->failed() && this->core.can_serve_reads(now); }
-    bool knows_all_commits() const { return !this->failed() && this->core.knows_all_commits(); }
+    bool knows_all_commits(time_point now) const { return !this->failed() && this->core.knows_all_commits(now); }
     bool is_member() const {
         const auto& members = this->core.voters().voters;
         return std::any_of(members.begin(), members.end(),
--- a/src/consensus/consensus_election.cpp
+++ b/src/consensus/consensus_election.cpp
@@ -35,7 +35,7 @@
     }
     this->role = role_kind::follower;
     this->leader = leader;
-    this->caught_up = false;
+    this->caught_up_at.reset();
     this->votes.clear();
     this->peers.clear();
     this->transfer_target.clear();
--- a/src/consensus/consensus_follower.cpp
+++ b/src/consensus/consensus_follower.cpp
@@ -76,8 +76,9 @@
     reply.match_index = request.prev_log_index + request.entries.size();
     this->commit_to(std::min(request.commit_index, reply.match_index));
     // A leader that has committed nothing in its term does not know yet what earlier leaders committed.
-    this->caught_up = this->caught_up || (this->committed_index >= request.commit_index &&
-                                          this->term_at(request.commit_index) == this->hard.term);
+    if (this->committed_index >= request.commit_index && this->term_at(request.commit_index) == this->hard.term) {
+        this->caught_up_at = now;
+    }
     this->send(request.leader, reply);
 }
 
--- a/src/consensus/consensus_leader.cpp
+++ b/src/consensus/consensus_leader.cpp
@@ -247,8 +247,11 @@
     return this->term_at(this->committed_index) == this->hard.term;
 }
 
-bool consensus::knows_all_commits() const {
-    return this->role == role_kind::leader ? this->has_committed_in_term() : this->caught_up;
+bool consensus::knows_all_commits(time_point now) const {
+    if (this->role == role_kind::leader) {
+        return this->has_committed_in_term();
+    }
+    return this->caught_up_at && now <= *this->caught_up_at + this->options.election_timeout;
 }
 
 bool consensus::can_serve_reads(time_point now) const {
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -576,7 +576,7 @@
         if (this->log.is_leader() && !this->limits_are_current) {
             // Gateways may hold credits for limits that a leader learns from entries of earlier terms.
             this->credits.become_leader(this->log.term(), this->loop.now());
-            this->limits_are_current = this->log.knows_all_commits();
+            this->limits_are_current = this->log.knows_all_commits(this->loop.now());
         }
         for (auto& [id, session] : this->gateway_sessions) {
             this->send_items(id, session);
@@ -843,7 +843,7 @@
         pong.address = this->settings.peer_address;
         pong.region = this->settings.region;
         pong.members = this->peer_addresses();
-        pong.has_leader = this->log.knows_all_commits();
+        pong.has_leader = this->log.knows_all_commits(this->loop.now());
         pong.region_gateways = static_cast<std::uint32_t>(
             std::count_if(this->gateway_sessions.begin(), this->gateway_sessions.end(),
                           [&](const auto& entry) { return entry.second.last_ping.region == ping.region; }));
@@ -874,7 +874,7 @@
 
     // After a start, the items are those of a snapshot, until a leader tells what was committed later.
     void send_items(const std::string& id, gateway_session& session) {
-        if (!session.last_ping.wants_items || !this->log.knows_all_commits()) {
+        if (!session.last_ping.wants_items || !this->log.knows_all_commits(this->loop.now())) {
             return;
         }
         while (auto request = session.items.next(this->items, this->peers.connection_number(id))) {
--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -157,3 +157,33 @@
     CHECK(wait_for_leader(members)->core->voters().voters.size() == 3);
     members.check_progress();
 }
+
+// The leader's heartbeats arrived, its entries did not: the member went on to pass on what it had as the newest.
+TEST_CASE("a member that lacks entries that its leader has committed does not count as up to date for long") {
+    cluster members(3, 11);
+    auto* leader = wait_for_leader(members);
+    members.propose(3);
+    members.run_for(500);
+    auto follower_index = (index_of(members, leader) + 1) % 3;
+    auto& follower = members.nodes[follower_index];
+    REQUIRE(follower.core->knows_all_commits(members.local_time(follower)));
+    members.isolate(follower_index);
+    wire::append_request_t heartbeat;
+    heartbeat.term = follower.core->term();
+    heartbeat.leader = leader->id;
+    heartbeat.prev_log_index = follower.core->last_index() + 5;
+    heartbeat.prev_log_term = heartbeat.term;
+    heartbeat.commit_index = heartbeat.prev_log_index;
+    heartbeat.sequence = 1;
+    for (int i = 0; i < 10; ++i) {
+        members.run_for(100);
+        wire::messageUnion message;
+        message.Set(wire::append_request_t(heartbeat));
+        follower.core->receive(members.local_time(follower), leader->id, message);
+    }
+    CHECK(follower.core->leader_id() == leader->id);
+    CHECK_FALSE(follower.core->knows_all_commits(members.local_time(follower)));
+    members.heal_network();
+    members.run_for(1'000);
+    CHECK(follower.core->knows_all_commits(members.local_time(follower)));
+}
