Reports count as received from the first part of a copy on, and lost ones are sent again with the next connection

Cause: each part of a copy of all reports counted as the whole of it, so that a copy whose first part was lost counted as received. And reports that were lost with a connection were noticed after 700 ms without progress at the earliest, or not while the queue for the receiver was never empty at a ping.

Change: parts after the first one say so, and count only after the one before. A sender resends at once when the connection is another one and the receiver lacks something.

--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -98,10 +98,11 @@
         time_point last_ping_at{};
         std::string region;
         std::string http_address;
-        report_stream reports;               // to it
-        std::uint64_t received_reports = 0;  // number of its last message that came without a gap
-        gateway_list_copy gateways;          // that ping it
-        std::uint64_t known_list = 0;        // of this process's own gateways, as the member knows them
+        report_stream reports;  // to it
+        received_reports from_it;
+        std::uint64_t connection = 0;  // its number when the last ping came
+        gateway_list_copy gateways;    // that ping it
+        std::uint64_t known_list = 0;  // of this process's own gateways, as the member knows them
         std::uint64_t known_version = 0;
     };
 
@@ -710,7 +711,7 @@
             wire::member_ping_t ping;
             ping.region = this->settings.region;
             ping.http_address = this->settings.control_http_address;
-            ping.reports_number = member.received_reports;
+            ping.reports_number = member.from_it.number();
             ping.gateways_list = member.gateways.list();
             ping.gateways_version = member.gateways.version();
             ping.gateways = std::make_unique<wire::gateway_changes_t>(
@@ -733,6 +734,9 @@
         if (ping.gateways && member.gateways.apply(*ping.gateways)) {
             this->update_serving_gateways();
         }
+        if (std::exchange(member.connection, this->peers.connection_number(from)) != member.connection) {
+            member.reports.reconnected();
+        }
         if (member.reports.must_resend(now, ping.reports_number, this->peers.queued_bytes(from))) {
             this->send_own_reports(from, member.reports);
         }
@@ -779,6 +783,9 @@
             this->send_all_news(from, session);
         }
         this->send_pong(from, ping, wants_news && session.knows_news);
+        if (is_reconnected) {
+            session.reports.reconnected();
+        }
         wire::items_ack_t ack;
         ack.applied = ping.applied;
         session.items.set_takes_parts(ping.items != nullptr);
@@ -895,14 +902,17 @@
 
     using report_list = std::vector<wire::target_report_t>;
 
-    void send_reports(const std::string& id, std::uint64_t number, const report_list& reports, bool full) {
+    enum class copy_part : std::uint8_t { none, first, further };  // of everything
+
+    void send_reports(const std::string& id, std::uint64_t number, const report_list& reports, copy_part part) {
         if (!this->has_room(id)) {
             this->sends_deferred.Increment();
             return;  // the receiver misses this number, and gets everything once its queue is empty
         }
         wire::target_reports_t message;
         message.number = number;
-        message.full = full;
+        message.full = part != copy_part::none;
+        message.continues = part == copy_part::further;
         for (const auto& report : reports) {
             message.reports.push_back(std::make_unique<wire::target_report_t>(report));
         }
@@ -914,7 +924,7 @@
             auto first = reports.begin() + static_cast<std::ptrdiff_t>(i);
             auto last =
                 reports.begin() + static_cast<std::ptrdiff_t>(std::min(reports.size(), i + max_targets_per_message));
-            this->send_reports(id, stream.next(), {first, last}, true);
+            this->send_reports(id, stream.next(), {first, last}, i == 0 ? copy_part::first : copy_part::further);
         }
     }
 
@@ -964,25 +974,24 @@
         }
         if (!for_members.empty()) {
             for (const auto& [id, address] : this->connected_members) {
-                this->send_reports(id, this->member_sessions[id].reports.next(), for_members, false);
+                this->send_reports(id, this->member_sessions[id].reports.next(), for_members, copy_part::none);
             }
         }
         // Departures bind once they are acknowledged, whatever happens to the control process that would pass them on.
         const report_list& for_others = this->hears_all_members() ? own_departures : for_gateways;
         for (auto& [id, session] : this->gateway_sessions) {
             if (session.wants_reports() && !for_gateways.empty()) {
-                this->send_reports(id, session.reports.next(), for_gateways, false);
+                this->send_reports(id, session.reports.next(), for_gateways, copy_part::none);
             } else if (!session.wants_reports() && !for_others.empty()) {
-                this->send_reports(id, 0, for_others, false);
+                this->send_reports(id, 0, for_others, copy_part::none);
             }
         }
     }
 
     void on_reports(const std::string& from, const wire::target_reports_t& message) {
         auto member = this->member_sessions.find(from);
-        bool counts = message.number != 0 && member != this->member_sessions.end();
-        if (counts && (message.full || message.number == member->second.received_reports + 1)) {
-            member->second.received_reports = message.number;
+        if (member != this->member_sessions.end()) {
+            member->second.from_it.receive(message);
         }
         std::size_t changed = 0;
         for (const auto& report : message.reports) {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -219,7 +219,7 @@
     message.serving = this->serving;
     message.applied = this->items.applied();
     message.items = std::make_unique<wire::items_ack_t>(ack_of(this->received_items.held(), to.items_number));
-    message.reports_number = to.reports_number;
+    message.reports_number = to.reports.number();
     message.takes_changes = true;
     message.gateways_list = to.gateways.list();
     message.gateways_version = to.gateways.version();
@@ -441,7 +441,7 @@
     if (known.id != from) {  // first answer, or another process has taken over the address
         this->address_by_id.erase(known.id);
         known.id = from;
-        known.reports_number = 0;
+        known.reports = {};
         known.items_number = 0;
         this->address_by_id[from] = pong.address;
     }
@@ -542,9 +542,7 @@
 
 void control_link::on_reports(const std::string& from, const wire::target_reports_t& message) {
     if (control_peer* known = this->find_control_peer(from)) {
-        if (message.full || message.number == known->reports_number + 1) {
-            known->reports_number = message.number;
-        }
+        known->reports.receive(message);
     }
     control_update update;
     time_point now = this->loop.now();
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -31,6 +31,7 @@
 #include "persimmongrade/peer_transport.h"
 #include "persimmongrade/quarantine.h"
 #include "persimmongrade/rate_credits.h"
+#include "persimmongrade/report_stream.h"
 #include "persimmongrade/target_limits.h"
 #include "persimmongrade/target_registry.h"
 #include "settings_generated.h"
@@ -79,7 +80,7 @@
         time_point reachable_since{};
         std::string id;      // process id of its last answer; each start has its own
         std::string region;  // empty: not known
-        std::uint64_t reports_number = 0;
+        received_reports reports;
         std::uint64_t items_number = 0;  // of the last message with items
         unsigned region_gateways = 1;
         std::uint64_t applied = 0;  // log index that it has applied
--- a/src/inventory/report_stream.cpp
+++ b/src/inventory/report_stream.cpp
@@ -15,10 +15,15 @@
         this->timeout = report_resend_timeout;
         return true;
     }
+    bool has_reconnected = std::exchange(this->is_reconnected, false);
     bool has_progressed = std::exchange(this->known_number, known_number) != known_number;
     if (known_number == this->sent_number) {
         this->timeout = report_resend_timeout;
     }
+    if (has_reconnected && known_number != this->sent_number) {
+        this->behind_since.reset();
+        return true;
+    }
     if (known_number == this->sent_number || has_progressed || queued_bytes > 0) {
         this->behind_since.reset();
         return false;
@@ -34,4 +39,12 @@
     return true;
 }
 
+void received_reports::receive(const wire::target_reports_t& message) {
+    bool is_next = message.number == this->last_number + 1;
+    bool begins_again = message.full && !message.continues;
+    if (message.number != 0 && (is_next || begins_again)) {
+        this->last_number = message.number;
+    }
+}
+
 }  // namespace persimmongrade
--- a/tests/fleet/raw_peer.h
+++ b/tests/fleet/peer_socket.h
@@ -20,24 +20,24 @@
 
 namespace persimmongrade {
 
-class raw_connection {
+class peer_socket {
 public:
     // Takes over the socket.
-    explicit raw_connection(int socket) : socket(socket) {
+    explicit peer_socket(int socket) : socket(socket) {
         ::fcntl(socket, F_SETFL, ::fcntl(socket, F_GETFL) | O_NONBLOCK);
     }
 
-    static std::unique_ptr<raw_connection> connect(const std::string& address) {
+    static std::unique_ptr<peer_socket> connect(const std::string& address) {
         int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_storage storage{};
         socklen_t size = ip_address::parse(address).to_sockaddr(storage);
         REQUIRE(::connect(socket, reinterpret_cast<sockaddr*>(&storage), size) == 0);
-        return std::make_unique<raw_connection>(socket);
+        return std::make_unique<peer_socket>(socket);
     }
 
-    ~raw_connection() { ::close(this->socket); }
-    raw_connection(const raw_connection&) = delete;
-    raw_connection& operator=(const raw_connection&) = delete;
+    ~peer_socket() { ::close(this->socket); }
+    peer_socket(const peer_socket&) = delete;
+    peer_socket& operator=(const peer_socket&) = delete;
 
     // Resets instead of closing once the connection is destroyed: what the peer has sent is lost.
     void reset_at_end() {
@@ -94,9 +94,9 @@
     bool has_ended = false;
 };
 
-class raw_listener {
+class peer_listener {
 public:
-    explicit raw_listener(const std::string& address) : socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    explicit peer_listener(const std::string& address) : socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
         int reuse = 1;
         ::setsockopt(this->socket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
         sockaddr_storage storage{};
@@ -106,14 +106,14 @@
         ::fcntl(this->socket, F_SETFL, ::fcntl(this->socket, F_GETFL) | O_NONBLOCK);
     }
 
-    ~raw_listener() { ::close(this->socket); }
-    raw_listener(const raw_listener&) = delete;
-    raw_listener& operator=(const raw_listener&) = delete;
+    ~peer_listener() { ::close(this->socket); }
+    peer_listener(const peer_listener&) = delete;
+    peer_listener& operator=(const peer_listener&) = delete;
 
     // Null when nobody connects.
-    std::unique_ptr<raw_connection> accept() {
+    std::unique_ptr<peer_socket> accept() {
         int accepted = ::accept4(this->socket, nullptr, nullptr, SOCK_CLOEXEC);
-        return accepted < 0 ? nullptr : std::make_unique<raw_connection>(accepted);
+        return accepted < 0 ? nullptr : std::make_unique<peer_socket>(accepted);
     }
 
 private:
--- a/tests/fleet/test_lost_messages.cpp
+++ b/tests/fleet/test_lost_messages.cpp
@@ -1,7 +1,7 @@
 // What gateways and control processes learn although messages are lost with a connection, or take long over a slow one.
 
 #include "fleet_fixture.h"
-#include "raw_peer.h"
+#include "peer_socket.h"
 
 using namespace persimmongrade;
 
@@ -15,7 +15,7 @@
     cut_gateway(fleet_fixture& system, std::string id) : system(system), id(std::move(id)) { this->connect(); }
 
     void connect() {
-        this->connection = raw_connection::connect(host_address(0, 7100));
+        this->connection = peer_socket::connect(host_address(0, 7100));
         this->next_ping_at = this->system.loop.now();
     }
 
@@ -53,7 +53,7 @@
 
     item_store items;
     std::vector<std::string> limited_targets;
-    std::unique_ptr<raw_connection> connection;
+    std::unique_ptr<peer_socket> connection;
 
 private:
     fleet_fixture& system;
@@ -107,7 +107,7 @@
 
 private:
     struct session {
-        std::unique_ptr<raw_connection> connection;
+        std::unique_ptr<peer_socket> connection;
         bool has_items = false;
     };
 
@@ -148,7 +148,7 @@
     std::size_t count;
     const wire::items_delta_t& items;
     std::size_t bytes_per_poll;
-    raw_listener listener;
+    peer_listener listener;
     std::vector<session> sessions;
     timer_id timer;
 };
@@ -220,9 +220,9 @@
 
 TEST_CASE("a limit that a gateway sent over a connection that is reset reaches the control process") {
     event_loop loop;
-    raw_listener control(host_address(0, 7100));
+    peer_listener control(host_address(0, 7100));
     stub_gateway gateway(loop, 100, 1);
-    std::unique_ptr<raw_connection> connection;
+    std::unique_ptr<peer_socket> connection;
     std::vector<std::string> limits;
     auto poll = [&](duration length) {
         for (time_point end = loop.now() + length; loop.now() < end; loop.run_for(ms(10))) {
--- a/tests/inventory/test_gateway_list.cpp
+++ b/tests/inventory/test_gateway_list.cpp
@@ -138,3 +138,38 @@
         CHECK(other.next() == 58);
     }
 }
+
+// Each part of a copy counted as the whole of it: a copy whose first part was lost was never completed.
+TEST_CASE("a copy of all reports counts as received only from its first part on") {
+    received_reports received;
+    auto receive = [&](std::uint64_t number, bool full, bool continues) {
+        wire::target_reports_t message;
+        message.number = number;
+        message.full = full;
+        message.continues = continues;
+        received.receive(message);
+        return received.number();
+    };
+    CHECK(receive(1, false, false) == 1);
+    CHECK(receive(3, true, true) == 1);  // the first part, 2, was lost
+    CHECK(receive(4, true, true) == 1);
+    CHECK(receive(5, true, false) == 5);
+    CHECK(receive(6, true, true) == 6);
+    CHECK(receive(8, false, false) == 6);
+    CHECK(receive(0, false, false) == 6);
+}
+
+TEST_CASE("reports that were on the way over a connection that ended are sent again at once") {
+    report_stream stream;
+    time_point now{};
+    REQUIRE(stream.must_resend(now, 0, 0));
+    stream.next();
+    CHECK_FALSE(stream.must_resend(now, 1, 0));
+    stream.reconnected();
+    CHECK_FALSE(stream.must_resend(now, 1, 0));  // nothing was on the way
+    stream.next();
+    CHECK_FALSE(stream.must_resend(now, 1, 0));
+    stream.reconnected();
+    CHECK(stream.must_resend(now, 1, 50000));
+    CHECK_FALSE(stream.must_resend(now, 1, 0));  // on its way
+}
