A gateway that knows of newer items refuses requests instead of using what may be old

What callers saw: a gateway in touch answered 404, or ran a dropped route, although control processes had stated newer items for seconds.

Cause: a gateway that knew it was behind went on as if it were not, for as long as the transfer took.

Change: gateways keep when each change that they lack can have been accepted at the earliest: the last statement of a control process that named no newer one. Once that is longer ago than items_in_force_ms (the platform's config-apply-ms), requests end with 503 and Retry-After, outcome outdated_items, until the change is in force. A gateway that comes back after a longer cut refuses from the first statement of a newer index until it has the items. One that is cut off from all control processes knows of no change and serves on, as before.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -289,6 +289,7 @@
     reader.optional("limit_window_ms", settings.limit_window_ms, 100, 600000);
     reader.optional("limit_overshoot", settings.limit_overshoot, 0, 10);
     reader.optional("limit_slack", settings.limit_slack, 0, 1000000);
+    reader.optional("items_in_force_ms", settings.items_in_force_ms, 100, 600000);
 }
 
 wire::fleet_settings_t read_fleet(const std::string& file, mapping_reader& reader) {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -121,6 +121,19 @@
         }));
 }
 
+bool control_link::items_are_outdated(time_point now) const {
+    return this->lag.is_outdated(now, ms(this->settings.items_in_force_ms));
+}
+
+void control_link::log_outdated_items(time_point now) {
+    bool is_outdated = this->items_are_outdated(now);
+    if (std::exchange(this->outdated_logged, is_outdated) != is_outdated) {
+        auto missing = this->lag.oldest();
+        log_event(is_outdated ? "items_outdated" : "items_current", field("applied", this->items.applied()),
+                  field("missing", missing ? missing->index : 0));
+    }
+}
+
 // ---- Source ----
 
 // An answer may wait behind items that arrive slowly: a connection over which bytes arrive is not silent.
@@ -278,6 +291,7 @@
 
 void control_link::ping_peers(ping_scope scope) {
     time_point now = this->loop.now();
+    this->log_outdated_items(now);
     this->select_source(now);
     if (this->reachable_count(now) == 0) {
         this->known_gateways.clear();  // clients then ask another process, which is told of gateways that have ended
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -68,6 +68,9 @@
     // Largest count that a control process reported within gateway_count_hold; at least 1.
     unsigned gateways_in_region() const noexcept { return this->counted_gateways; }
     std::size_t reachable_count(time_point now) const;  // control processes that answered the last pings
+    // Whether a change is known to be accepted, possibly longer ago than items_in_force_ms, that is not in force here.
+    // A gateway that is cut off from all control processes knows of no change.
+    bool items_are_outdated(time_point now) const;
     // Gateways that take clients, in all regions, according to the source. None while no control process answers.
     const gateways_by_address& gateways() const noexcept { return this->known_gateways; }
 
@@ -116,6 +119,7 @@
     void on_pong(const std::string& from, const wire::gateway_pong_t& pong);
     void update_gateways(time_point now, const wire::gateway_pong_t& pong);
     std::uint64_t received_since_answer(const std::string& address) const;
+    void log_outdated_items(time_point now);
     void acknowledge_items(const std::string& from, std::uint64_t number);
     void on_items(const std::string& from, const wire::items_delta_t& delta);
     void put_in_force(const std::string& from, std::uint64_t before, std::size_t item_count,
@@ -147,6 +151,7 @@
     time_point source_leaderless_since{};  // while others have a leader; zero: they have not, or it has one
     item_receiver received_items;
     item_lag lag;
+    bool outdated_logged = false;
     time_point items_progress_at{};  // last message that brought items
     timer_id initial_ping_timer = 0;
     bool lacks_earlier_items = false;  // the last change of items was refused for that reason
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -497,6 +497,10 @@
             this->reject_unavailable(entry, "no_items", default_retry_after);
             return;
         }
+        if (this->control.items_are_outdated(now)) {
+            this->reject_unavailable(entry, "outdated_items", default_retry_after);
+            return;
+        }
         const struct route* found = this->route_of(head);
         if (found == nullptr) {
             this->end(entry, {status_not_found, {}, ""}, "no_route");
