A control process that starts again under its id no longer sends parts twice

What callers would have seen: nothing wrong, but a busy link.

Cause: a gateway stated the last message number of the start before, which the new start, numbering from 1, took for the receipt of parts that were still on their way. Each acknowledgement then made it send them again.

Change: the number belongs to the connection, and starts again with it.

The property of test_item_transfer.cpp restarts control processes as well.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -397,6 +397,7 @@
     std::uint64_t current = this->peers.connection_number(address);
     if (std::exchange(to.connection, current) != current) {
         to.knows_news = false;
+        to.items_number = 0;  // a process that starts again under its id numbers its messages anew
         this->news_received = this->news_received && address != this->source;
     }
 }
@@ -456,7 +457,6 @@
         this->address_by_id.erase(known.id);
         known.id = from;
         known.reports = {};
-        known.items_number = 0;
         this->address_by_id[from] = pong.address;
     }
     if (!known.is_reachable) {
@@ -501,13 +501,13 @@
     return bytes - std::min(bytes, known->second.received_at_answer);
 }
 
-// The control process sends the next part once it knows that this one has arrived.
+// The control process sends the next part then.
 void control_link::acknowledge_items(const std::string& from, std::uint64_t number) {
     control_peer* known = this->find_control_peer(from);
     if (known == nullptr || number == 0) {
         return;
     }
-    known->items_number = std::max(known->items_number, number);
+    known->items_number = number;
     this->peers.send(this->address_by_id.at(from), ack_of(this->received_items.held(), known->items_number));
 }
 
@@ -525,7 +525,7 @@
                   field("applied", before), field("outcome", name_of(outcome)));
     }
     this->lacks_earlier_items = is_refused;
-    if (outcome != items_outcome::unreadable) {  // that one would be sent again without end
+    if (outcome != items_outcome::unreadable) {  // which would be sent again without end
         this->acknowledge_items(from, delta.number);
     }
     if (outcome == items_outcome::applied || outcome == items_outcome::stored) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -84,7 +84,7 @@
         std::string id;      // process id of its last answer; each start has its own
         std::string region;  // empty: not known
         received_reports reports;
-        std::uint64_t items_number = 0;  // of the last message with items
+        std::uint64_t items_number = 0;  // last message with items over the present connection
         unsigned region_gateways = 1;
         std::uint64_t applied = 0;  // log index that it has applied
         bool has_leader = false;
--- a/tests/fleet/test_lost_messages.cpp
+++ b/tests/fleet/test_lost_messages.cpp
@@ -254,3 +254,31 @@
     poll(ms(1500));
     CHECK(limits == std::vector<std::string>{"i-1"});
 }
+
+// Its messages are numbered from 1 again, and the gateway stated the last number of the start before.
+TEST_CASE("a control process that starts again under its id sends each part once") {
+    single_control system;
+    stub_gateway gateway(system.loop, 100, 1);
+    for (std::uint64_t version = 1; version <= 40; ++version) {
+        system.submit(version);
+        system.run_until([&] { return version_of_orders(gateway.items) == version; }, ms(2000));
+    }
+    system.control[0].reset();
+    system.start_control(0);
+    system.run_until([&] { return system.leader() != nullptr; }, ms(5000));
+    system.loop.run_for(ms(500));
+    wire::item_batch_t large;
+    large.digest = 1000;
+    for (int i = 0; i < 6000; ++i) {
+        large.items.push_back(
+            std::move(service_batch("service-" + std::to_string(i) + std::string(150, 'x'), 1).items.front()));
+    }
+    system.leader()->submit(std::move(large), [](const command_result&) {});
+    std::string last = "service-5999" + std::string(150, 'x');
+    system.run_until([&] { return gateway.items.find(wire::item_kind::service, last) != nullptr; }, ms(5000));
+    CHECK(gateway.items.find(wire::item_kind::service, last) != nullptr);
+    std::string metrics = gateway.metrics.text();
+    CHECK(metrics.find("items_deltas_total{outcome=\"stored\"}") != std::string::npos);
+    CHECK(metrics.find("items_deltas_total{outcome=\"known\"}") == std::string::npos);
+    CHECK(metrics.find("items_deltas_total{outcome=\"lacks_earlier\"}") == std::string::npos);
+}
--- a/tests/inventory/test_item_transfer.cpp
+++ b/tests/inventory/test_item_transfer.cpp
@@ -125,9 +125,16 @@
 
     void end_connection(std::size_t i) {
         this->control[i].on_the_way.clear();
+        this->control[i].received_number = 0;
         ++this->control[i].connection;
     }
 
+    void restart(std::size_t i) {
+        this->end_connection(i);
+        this->control[i].stream = {};
+        this->control[i].parts = item_parts(400);
+    }
+
     // What the gateway says that it has applied is in force there.
     bool is_truthful() const {
         std::uint64_t applied = this->gateway.applied();
@@ -284,7 +291,7 @@
         std::uint64_t applied = 0;
         for (int step = 0; step < steps; ++step) {
             std::size_t i = *rc::gen::inRange<std::size_t>(0, control_count);
-            switch (*rc::gen::inRange(0, 10)) {
+            switch (*rc::gen::inRange(0, 11)) {
             case 0:
                 system.commit(random_entry(version += 20));
                 break;
@@ -298,6 +305,9 @@
             case 4:
                 source = i;
                 break;
+            case 10:
+                system.restart(i);
+                break;
             case 5:
                 system.state(i);  // a ping
                 break;
