An answer that waited in a socket does not make a change younger

Cause: a gateway that was frozen reads answers of before it first, and took them for statements of now. It then counted a change that was accepted meanwhile from that moment, and used older items for up to items_in_force_ms more.

Change: a statement counts from the ping that it answers. The new case of test_outdated_items.cpp fails without that by its construction: the change would count from the late answer, 10 ms before.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -434,6 +434,8 @@
     control_peer& known = this->control_peers.at(pong.address);
     time_point now = this->loop.now();
     this->note_connection(pong.address, known);
+    // The answer may have waited in a socket. It was made after the ping at the earliest.
+    time_point stated_at = known.unanswered_since == time_point{} ? known.answered_at : known.unanswered_since;
     known.answered_at = now;
     known.received_at_answer = this->peers.received(pong.address).bytes;
     known.unanswered_since = time_point{};
@@ -443,7 +445,7 @@
     known.applied = pong.applied;
     known.has_leader = pong.has_leader;
     if (pong.has_leader) {
-        this->lag.stated(now, pong.applied, this->items.applied());
+        this->lag.stated(now, stated_at, pong.applied, this->items.applied());
     }
     known.silent = pong.silent;
     if (pong.has_leader && !pong.leader.empty()) {
--- a/src/gateway/item_lag.cpp
+++ b/src/gateway/item_lag.cpp
@@ -4,14 +4,14 @@
 
 namespace persimmongrade {
 
-void item_lag::stated(time_point now, std::uint64_t index, std::uint64_t applied_here) {
+void item_lag::stated(time_point now, time_point stated_at, std::uint64_t index, std::uint64_t applied_here) {
     if (index > this->newest) {
         this->newest = index;
-        this->changes.push_back({index, now, this->stated_at.value_or(now)});
+        this->changes.push_back({index, now, this->newest_stated_at.value_or(now)});
     }
     // A process that lags behind others says nothing of what was accepted meanwhile.
     if (index >= this->newest) {
-        this->stated_at = now;
+        this->newest_stated_at = std::max(stated_at, this->newest_stated_at.value_or(stated_at));
     }
     this->applied(applied_here);
 }
--- a/src/gateway/item_lag.h
+++ b/src/gateway/item_lag.h
@@ -1,6 +1,6 @@
 // How long a gateway has lacked changes that control processes have stated. Free of I/O.
 //
-//     lag.stated(now, pong.applied, store.applied());   // a control process that has a leader
+//     lag.stated(now, pinged_at, pong.applied, store.applied());   // the answer of a control process that has a leader
 //     lag.applied(store.applied());                     // changes are in force here
 //     if (lag.is_outdated(now, limit)) { refuse(); }
 
@@ -24,7 +24,8 @@
         bool operator==(const missing&) const = default;
     };
 
-    void stated(time_point now, std::uint64_t index, std::uint64_t applied_here);
+    // A statement that was made after `stated_at` and has arrived now.
+    void stated(time_point now, time_point stated_at, std::uint64_t index, std::uint64_t applied_here);
     void applied(std::uint64_t index);
     std::optional<missing> oldest() const;
     // Whether a change is known that is not in force here, and may have been accepted longer ago than `limit`.
@@ -32,8 +33,8 @@
 
 private:
     std::uint64_t newest = 0;
-    std::optional<time_point> stated_at;  // last statement that named no newer change
-    std::deque<missing> changes;          // not in force here, by index
+    std::optional<time_point> newest_stated_at;  // last statement that named no newer change
+    std::deque<missing> changes;                 // not in force here, by index
 };
 
 }  // namespace persimmongrade
--- a/tests/fleet/test_outdated_items.cpp
+++ b/tests/fleet/test_outdated_items.cpp
@@ -137,11 +137,11 @@
     time_point now{};
     for (std::uint64_t index = 1; index < 100; ++index) {
         now += ms(300);
-        lag.stated(now, index, index - 1);  // the one before is in force, this one is not
+        lag.stated(now, now, index, index - 1);  // the one before is in force, this one is not
         CHECK_FALSE(lag.is_outdated(now, in_force));
     }
     CHECK(lag.oldest()->index == 99);
-    lag.stated(now + ms(900), 99, 98);
+    lag.stated(now + ms(900), now + ms(900), 99, 98);
     CHECK_FALSE(lag.is_outdated(now + ms(600), in_force));
     CHECK(lag.is_outdated(now + ms(900), in_force));  // accepted up to 300 ms before it was stated
     lag.applied(99);
@@ -151,8 +151,18 @@
 TEST_CASE("the word of a control process that lags behind others does not make a change younger") {
     item_lag lag;
     time_point now{};
-    lag.stated(now, 5, 5);
-    lag.stated(now + ms(2000), 4, 5);
-    lag.stated(now + ms(2100), 6, 5);
+    lag.stated(now, now, 5, 5);
+    lag.stated(now + ms(2000), now + ms(2000), 4, 5);
+    lag.stated(now + ms(2100), now + ms(2100), 6, 5);
     CHECK(lag.is_outdated(now + ms(2100), in_force));
 }
+
+// A gateway that was frozen reads answers of before it first.
+TEST_CASE("an answer that waited does not make a change younger") {
+    item_lag lag;
+    time_point now{};
+    lag.stated(now, now, 5, 5);
+    lag.stated(now + ms(5000), now + ms(300), 5, 5);
+    lag.stated(now + ms(5010), now + ms(5005), 6, 5);
+    CHECK(lag.is_outdated(now + ms(5010), in_force));
+}
