Reports: a connection that is new to both ends is not a loss

Cause: with the first ping of another control process the connection counted as another one after the first copy of all reports, so that the copy went twice; and the comparison that found later changes of the connection rested on the order in which its two sides are evaluated.

Change: the note of a new connection ends with the next statement, and the comparison uses a value of its own. The case of test_gateway_list.cpp failed before with a second copy.

--- a/include/persimmongrade/item_transfer.h
+++ b/include/persimmongrade/item_transfer.h
@@ -37,8 +37,8 @@
 
 namespace persimmongrade {
 
-inline constexpr std::size_t max_part_bytes = 128u << 10;              // of items, before compression
-inline constexpr std::size_t max_unconfirmed_items_bytes = 64u << 10;  // on their way to one gateway
+inline constexpr std::size_t max_part_bytes = 128u << 10;              // items of one part before compression
+inline constexpr std::size_t max_unconfirmed_items_bytes = 64u << 10;  // unacknowledged by one gateway
 inline constexpr std::size_t min_packed_bytes = 2048;                  // smaller parts are not compressed
 
 // What a gateway holds: every change up to `applied`; and of a transfer to `upto` the items up to the key `last`.
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -99,7 +99,7 @@
         std::string region;
         std::string http_address;
         report_stream reports;  // to it
-        received_reports from_it;
+        received_reports reports_from;
         std::uint64_t connection = 0;  // its number when the last ping came
         gateway_list_copy gateways;    // that ping it
         std::uint64_t known_list = 0;  // of this process's own gateways, as the member knows them
@@ -711,7 +711,7 @@
             wire::member_ping_t ping;
             ping.region = this->settings.region;
             ping.http_address = this->settings.control_http_address;
-            ping.reports_number = member.from_it.number();
+            ping.reports_number = member.reports_from.number();
             ping.gateways_list = member.gateways.list();
             ping.gateways_version = member.gateways.version();
             ping.gateways = std::make_unique<wire::gateway_changes_t>(
@@ -734,7 +734,8 @@
         if (ping.gateways && member.gateways.apply(*ping.gateways)) {
             this->update_serving_gateways();
         }
-        if (std::exchange(member.connection, this->peers.connection_number(from)) != member.connection) {
+        std::uint64_t connection = this->peers.connection_number(from);
+        if (std::exchange(member.connection, connection) != connection) {
             member.reports.reconnected();
         }
         if (member.reports.must_resend(now, ping.reports_number, this->peers.queued_bytes(from))) {
@@ -991,7 +992,7 @@
     void on_reports(const std::string& from, const wire::target_reports_t& message) {
         auto member = this->member_sessions.find(from);
         if (member != this->member_sessions.end()) {
-            member->second.from_it.receive(message);
+            member->second.reports_from.receive(message);
         }
         std::size_t changed = 0;
         for (const auto& report : message.reports) {
--- a/src/gateway/control_link.h
+++ b/src/gateway/control_link.h
@@ -90,7 +90,7 @@
         bool has_leader = false;
         gateway_list_copy gateways;
         std::vector<std::string> silent;       // process ids that it does not hear, and asks about
-        std::uint64_t connection = 0;          // its number when notices and limits were last sent
+        std::uint64_t connection = 0;          // number of the present one, as last looked at
         std::uint64_t received_at_answer = 0;  // bytes over its connection until its last answer
         bool is_reachable = false;
         bool knows_news = false;  // was sent all notices and limits that this gateway knows
--- a/src/inventory/report_stream.cpp
+++ b/src/inventory/report_stream.cpp
@@ -7,6 +7,7 @@
 
 bool report_stream::must_resend(time_point now, std::uint64_t known_number, std::size_t queued_bytes) {
     // Numbers of an earlier start of this process, or a new start of the receiver.
+    bool has_reconnected = std::exchange(this->is_reconnected, false);
     bool has_restarted = known_number > this->sent_number || known_number < this->known_number;
     this->sent_number = std::max(this->sent_number, known_number);
     if (std::exchange(this->is_new, false) || has_restarted) {
@@ -15,7 +16,6 @@
         this->timeout = report_resend_timeout;
         return true;
     }
-    bool has_reconnected = std::exchange(this->is_reconnected, false);
     bool has_progressed = std::exchange(this->known_number, known_number) != known_number;
     if (known_number == this->sent_number) {
         this->timeout = report_resend_timeout;
--- a/tests/inventory/test_gateway_list.cpp
+++ b/tests/inventory/test_gateway_list.cpp
@@ -172,4 +172,9 @@
     stream.reconnected();
     CHECK(stream.must_resend(now, 1, 50000));
     CHECK_FALSE(stream.must_resend(now, 1, 0));  // on its way
+    report_stream other;
+    other.reconnected();
+    CHECK(other.must_resend(now, 0, 0));
+    other.next();
+    CHECK_FALSE(other.must_resend(now, 0, 0));  // the first copy is on its way
 }
