--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -146,10 +146,10 @@
 // Whether another control process has a leader while the source has none: it may be cut off from the majority. It sends
 // no items then, so that a gateway that lacks some does not wait.
 bool control_link::lacks_a_leader(time_point now, const control_peer& current) {
-    bool is_any_led = std::any_of(this->control_peers.begin(), this->control_peers.end(), [](const auto& entry) {
-        return entry.second.is_reachable && entry.second.has_leader;
-    });
-    if (current.has_leader || !is_any_led) {
+    bool is_leader_known_elsewhere =
+        std::any_of(this->control_peers.begin(), this->control_peers.end(),
+                    [](const auto& entry) { return entry.second.is_reachable && entry.second.has_leader; });
+    if (current.has_leader || !is_leader_known_elsewhere) {
         this->source_leaderless_since = time_point{};
         return false;
     }
--- a/tests/inventory/test_item_transfer.cpp
+++ b/tests/inventory/test_item_transfer.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 
 #include "persimmongrade/compression.h"
